--- /dev/null
+++ b/src/app/controller.cpp
@@ -0,0 +1,201 @@
+#include "app/controller.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "jobs/codec.h"
+
+namespace basaltchute::app {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string jobsPath = "/v1/jobs";
+
+http::Response plain(int status, const char* body) {
+    return {status, body};
+}
+http::Response noLeader() {
+    http::Response r = plain(503, R"({"error":"no leader at the moment"})");
+    r.retryAfterS = 1;
+    return r;
+}
+
+/// What a user asks for; the empty verb stands for a path that does not exist.
+struct UserCall {
+    enum class Verb { none, submit, query, withdraw, wrongMethod } verb = Verb::none;
+    JobId id;
+};
+UserCall parseCall(const http::Request& r) {
+    using Verb = UserCall::Verb;
+    const std::string path = r.target.substr(0, r.target.find('?'));
+    if (path == jobsPath) return {r.method == "POST" ? Verb::submit : Verb::wrongMethod, ""};
+    if (!path.starts_with(jobsPath + '/')) return {};
+    const std::string rest = path.substr(jobsPath.size() + 1);
+    const auto slash = rest.find('/');
+    if (slash == std::string::npos) return {r.method == "GET" ? Verb::query : Verb::wrongMethod, rest};
+    if (rest.substr(slash) != "/withdraw") return {};
+    return {r.method == "POST" ? Verb::withdraw : Verb::wrongMethod, rest.substr(0, slash)};
+}
+
+}  // namespace
+
+Controller::Controller(Loop& loop, settings::Settings settings, std::string incarnation)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      scope_(loop),
+      state_(loop, settings_),
+      leadership_(loop, state_, settings_, std::move(incarnation),
+                  {[this](Token, state::Guard guard) {
+                       reign_ = std::make_shared<Reign>(loop_, settings_, state_, leadership_,
+                                                        std::move(guard));
+                       reign_->start();
+                       mesh_.announce();
+                   },
+                   [this]() -> Task<void> {
+                       const auto reign = std::exchange(reign_, nullptr);
+                       mesh_.announce();
+                       co_await reign->end();
+                   }}),
+      mesh_(loop, settings_,
+            {[this] {
+                 return mesh::Hello{settings_.node, leadership_.mayAct(), leadership_.token()};
+             },
+             [this](const LeaderHint& hint) {
+                 leaderSeen_ = loop_.now();
+                 leadership_.heard(hint);
+             },
+             [this](http::Request r) { return lead(std::move(r)); }}),
+      server_(loop, settings_.listen,
+              http::ServerLimits{settings_.sockets > 400 ? settings_.sockets - 200
+                                                         : settings_.sockets / 2},
+              [this](http::Request r) { return handle(std::move(r)); }),
+      leaderSeen_(loop.now()) {}
+
+void Controller::start() {
+    mesh_.start(scope_);
+    server_.start(scope_);
+    scope_.spawn(leadership_.run(scope_));
+}
+
+Task<void> Controller::shutDown() {
+    leadership_.stepDown("shutting down");
+    // Leave the resignation a moment to reach the state service: the next leader need not wait.
+    Scope pause(loop_);
+    co_await loop_.sleep(100ms, pause);
+    co_await scope_.end();
+    loop_.stop();
+}
+
+Task<http::Response> Controller::handle(http::Request r) {
+    if (r.target == "/up") {
+        if (r.method != "GET") co_return plain(405, "{}");
+        co_return up();
+    }
+    if (r.target == "/agent/beat") {
+        if (r.method != "POST") co_return plain(405, "{}");
+        co_return beat(r.body);
+    }
+    if (r.target == "/status") {
+        if (r.method != "GET") co_return plain(405, "{}");
+        co_return status();
+    }
+    auto response = co_await users(std::move(r));
+    co_return response;
+}
+
+Task<http::Response> Controller::users(http::Request r) {
+    const UserCall call = parseCall(r);
+    if (call.verb == UserCall::Verb::none) co_return plain(404, R"({"error":"no such path"})");
+    if (call.verb == UserCall::Verb::wrongMethod)
+        co_return plain(405, R"({"error":"wrong method"})");
+    if (call.verb == UserCall::Verb::submit) {
+        // What is malformed is so whoever leads.
+        auto parsed = jobs::parseSubmission(r.body);
+        if (std::holds_alternative<std::string>(parsed)) {
+            json::Out o;
+            o.open().field("error", std::get<std::string>(parsed)).close();
+            co_return http::Response{400, o.text()};
+        }
+    } else if (!jobs::validId(call.id)) {
+        co_return plain(call.verb == UserCall::Verb::query ? 404 : 400, R"({"error":"not a job id"})");
+    }
+    if (reign_) {
+        auto response = co_await lead(std::move(r));
+        co_return response;
+    }
+    const auto known = leadership_.known();
+    if (!known || known->node == settings_.node) co_return noLeader();
+    auto o = co_await mesh_.forward(known->node, std::move(r), 4s, scope_);
+    if (!o.answered) co_return noLeader();
+    o.response.keepAlive = true;
+    co_return std::move(o.response);
+}
+
+Task<http::Response> Controller::lead(http::Request r) {
+    const auto reign = reign_;  // held: it may be deposed while the request waits
+    if (!reign || !reign->ready()) co_return noLeader();
+    const UserCall call = parseCall(r);
+    http::Response response = noLeader();
+    switch (call.verb) {
+        case UserCall::Verb::submit: response = co_await reign->submit(std::move(r.body)); break;
+        case UserCall::Verb::query: response = co_await reign->query(call.id); break;
+        case UserCall::Verb::withdraw: response = co_await reign->withdraw(call.id); break;
+        default: co_return plain(404, "{}");
+    }
+    if (!leadership_.mayAct()) co_return noLeader();
+    co_return response;
+}
+
+http::Response Controller::beat(const std::string& body) {
+    const auto report = workers::parseReport(body);
+    if (!report) return plain(400, R"({"error":"malformed report"})");
+    if (reign_ && report->token > leadership_.token())
+        leadership_.stepDown("a worker has seen a higher token");
+    if (reign_ && leadership_.mayAct()) return reign_->beat(*report);
+    const auto known = leadership_.known();
+    if (!known || known->node == settings_.node) return noLeader();
+    json::Out o;
+    o.open().field("steward", known->node).close();
+    return {421, o.text()};
+}
+
+http::Response Controller::up() {
+    const auto known = leadership_.known();
+    const bool reachable = leadership_.mayAct() || (known && mesh_.connected(known->node));
+    if (reachable) leaderSeen_ = loop_.now();
+    // A moment without a leader must not cost this node its users: taking it back takes the
+    // load balancer longer than an election. Without a leader anywhere, all nodes are alike.
+    const bool othersServe = leadership_.stateAnswers() && known && !reachable;
+    if (othersServe && loop_.now() - leaderSeen_ > 4s) return plain(503, "{}");
+    return plain(200, "{}");
+}
+
+http::Response Controller::status() {
+    json::Out o;
+    o.open().field("node", settings_.node).field("leading", leadership_.mayAct());
+    if (const auto known = leadership_.known())
+        o.field("leader", known->node).field("token", known->token);
+    o.field("connections", static_cast<std::uint64_t>(server_.connections()));
+    if (reign_ && reign_->loaded()) {
+        const auto& c = reign_->cluster();
+        o.field("jobs", static_cast<std::uint64_t>(c.jobCount()));
+        o.field("open", static_cast<std::uint64_t>(c.openJobs().size()));
+        o.field("unwritten", static_cast<std::uint64_t>(reign_->backlog()));
+        o.key("machines").openArray();
+        for (const auto& m : c.machines()) {
+            if (m.presence == workers::Presence::gone) continue;
+            o.open().field("name", m.name).field("type", m.type).field("zone", m.zone);
+            o.field("spot", m.spot).field("up", m.up()).field("sick", m.sick);
+            o.field("tasks", static_cast<std::uint64_t>(m.charges.size()));
+            o.field("session", m.session).close();
+        }
+        o.closeArray();
+    }
+    o.close();
+    return {200, o.text()};
+}
+
+}  // namespace basaltchute::app
--- /dev/null
+++ b/src/app/controller.h
@@ -0,0 +1,36 @@
+#pragma once
+#include <memory>
+
+#include "app/reign.h"
+#include "http/server.h"
+#include "mesh/mesh.h"
+
+namespace basaltchute::app {
+
+/// One controller: serves users and workers, follows or leads, and speaks to its peers.
+class Controller {
+  public:
+    Controller(Loop& loop, settings::Settings settings, std::string incarnation);
+    void start();
+    Task<void> shutDown();
+
+  private:
+    Task<http::Response> handle(http::Request request);
+    Task<http::Response> users(http::Request request);
+    Task<http::Response> lead(http::Request request);
+    http::Response beat(const std::string& body);
+    http::Response up();
+    http::Response status();
+
+    Loop& loop_;
+    settings::Settings settings_;
+    Scope scope_;
+    state::Client state_;
+    Leadership leadership_;
+    mesh::Mesh mesh_;
+    http::Server server_;
+    std::shared_ptr<Reign> reign_;
+    TimePoint leaderSeen_;
+};
+
+}  // namespace basaltchute::app
--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,79 @@
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <random>
+
+#include "app/controller.h"
+
+namespace {
+
+volatile std::sig_atomic_t endRequested = 0;
+
+void requestEnd(int) {
+    endRequested = 1;
+}
+
+void setUpLog() {
+    auto logger = spdlog::stderr_logger_st("basaltchute");
+    logger->set_pattern("%L %v");
+    spdlog::set_default_logger(logger);
+    const char* level = std::getenv("LOG_LEVEL");
+    spdlog::set_level(level != nullptr ? spdlog::level::from_str(level) : spdlog::level::info);
+}
+
+basaltchute::Task<void> waitForEnd(basaltchute::Loop& loop, basaltchute::Scope& scope,
+                                   basaltchute::app::Controller& controller) {
+    while (endRequested == 0) {
+        // The signal itself ends the wait in epoll; this looks at the flag now and then.
+        co_await loop.sleep(std::chrono::milliseconds(500), scope);
+    }
+    spdlog::info("ending on a signal");
+    co_await controller.shutDown();
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    CLI::App cli{"basaltchute: a cluster scheduler. Runs one controller."};
+    std::string config, check;
+    cli.add_option("--config", config, "Run with this settings file (JSON)")->type_name("FILE");
+    cli.add_option("--check-config", check, "Check a settings file and exit")->type_name("FILE");
+    cli.set_version_flag("--version", "basaltchute " BASALTCHUTE_VERSION);
+    CLI11_PARSE(cli, argc, argv);
+    if (config.empty() && check.empty()) {
+        std::cerr << cli.help();
+        return 2;
+    }
+    setUpLog();
+    const std::string path = config.empty() ? check : config;
+    auto loaded = basaltchute::settings::load(path);
+    if (const auto* error = std::get_if<basaltchute::settings::Error>(&loaded)) {
+        std::cerr << path << ": " << *error << '\n';
+        return 2;
+    }
+    if (config.empty()) return 0;
+
+    std::signal(SIGTERM, requestEnd);
+    std::signal(SIGINT, requestEnd);
+    std::signal(SIGPIPE, SIG_IGN);
+    try {
+        const basaltchute::SystemClock clock;
+        basaltchute::Loop loop(clock);
+        basaltchute::Scope scope(loop);
+        std::random_device random;
+        const std::string incarnation = std::to_string(random()) + std::to_string(random());
+        basaltchute::app::Controller controller(
+            loop, std::get<basaltchute::settings::Settings>(std::move(loaded)), incarnation);
+        controller.start();
+        loop.spawn(waitForEnd(loop, scope, controller));
+        loop.run();
+    } catch (const std::exception& e) {
+        spdlog::critical("cannot run: {}", e.what());
+        return 1;
+    }
+    return 0;
+}
--- /dev/null
+++ b/src/app/reign.cpp
@@ -0,0 +1,247 @@
+#include "app/reign.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "jobs/codec.h"
+
+namespace basaltchute::app {
+
+using namespace std::chrono_literals;
+
+namespace {
+constexpr Duration factPatience = 3s;
+constexpr Duration tick = 250ms;
+
+http::Response refuse(int status, const std::string& why) {
+    json::Out o;
+    o.open().field("error", why).close();
+    return {status, o.text()};
+}
+}  // namespace
+
+Reign::Reign(Loop& loop, const settings::Settings& settings, state::Client& state,
+             Leadership& leadership, state::Guard guard)
+    : loop_(loop),
+      settings_(settings),
+      state_(state),
+      leadership_(leadership),
+      scope_(loop),
+      written_(loop),
+      kicked_(loop),
+      cluster_(settings, leadership.token(), loop.now()),
+      writer_(loop, state, settings.txnOps, std::move(guard),
+              {[this](const std::string& key) { return cluster_.encode(key); },
+               [this](const std::string& key, std::uint64_t version) {
+                   cluster_.committed(key, version);
+                   written_.notify();
+                   kick();
+               },
+               [this] { written_.notify(); },
+               [this] { leadership_.stepDown("another leader's key is in place"); }}),
+      cloud_(loop, settings),
+      fleet_(cluster_) {}
+
+void Reign::start() {
+    scope_.spawn(load());
+}
+
+Task<void> Reign::load() {
+    while (!scope_.cancelled()) {
+        const state::Listing all = co_await state_.list(jobs::recordPrefix, scope_);
+        if (all.verdict != state::Verdict::ok) {
+            co_await loop_.sleep(200ms, scope_);
+            continue;
+        }
+        for (const auto& item : all.items) {
+            if (!cluster_.load(item.key, item.data, loop_.now(), loop_.clock().wall()))
+                spdlog::error("record {} is malformed and was skipped", item.key);
+            writer_.known(item.key, item.revision);
+        }
+        cluster_.loaded(loop_.now());
+        loaded_ = true;
+        spdlog::info("loaded {} records", all.items.size());
+        scope_.spawn(writer_.run(scope_));
+        scope_.spawn(schedule());
+        scope_.spawn(manageFleet());
+        co_return;
+    }
+}
+
+void Reign::kick() {
+    dirty_ = true;
+    kicked_.notify();
+}
+
+void Reign::flush() {
+    scheduler::Effects effects = cluster_.take();
+    for (const auto& [key, urgency] : effects.dirty) writer_.dirty(key, urgency);
+    for (const MachineIndex m : effects.push) scope_.spawn(direct(m));
+}
+
+Task<void> Reign::schedule() {
+    while (!scope_.cancelled()) {
+        if (!dirty_) co_await loop_.wait(kicked_, loop_.now() + tick, scope_);
+        if (scope_.cancelled()) break;
+        dirty_ = false;
+        cluster_.expire(loop_.now());
+        cluster_.place(loop_.now());
+        flush();
+    }
+}
+
+Task<void> Reign::direct(MachineIndex machine) {
+    while (!scope_.cancelled()) {
+        const auto orders = cluster_.directOrders(machine, loop_.now());
+        if (orders.empty()) co_return;
+        const workers::Machine& m = cluster_.machines()[machine];
+        auto& client = direct_[machine];
+        if (!client) client = std::make_shared<http::Client>(loop_, m.address, 1);
+        const auto held = client;
+        http::Outcome o;
+        if (leadership_.mayAct()) {
+            http::Request request{"POST", "/commands",
+                                  workers::directOrders(cluster_.token(), m.session, orders)};
+            o = co_await held->request(std::move(request), 2s, scope_);
+        }
+        if (scope_.cancelled()) co_return;
+        const bool answered = o.answered && (o.response.status == 200 || o.response.status == 409);
+        if (answered) {
+            if (const auto report = workers::parseReport(o.response.body)) {
+                if (report->token > cluster_.token()) {
+                    leadership_.stepDown("a worker has seen a higher token");
+                    co_return;
+                }
+                cluster_.report(*report, scheduler::Cluster::Source::direct, loop_.now());
+            }
+        }
+        cluster_.directEnded(machine, o.sent, answered);
+        kick();
+        if (!answered) co_return;
+    }
+}
+
+Task<void> Reign::manageFleet() {
+    TimePoint catalogueAt{}, listAt{};
+    while (!scope_.cancelled()) {
+        if (loop_.now() >= catalogueAt) {
+            auto catalogue = co_await cloud_.catalogue(scope_);
+            if (catalogue) cluster_.setCatalogue(std::move(*catalogue));
+            catalogueAt = loop_.now() + (catalogue ? Duration(30s) : Duration(500ms));
+            kick();
+        }
+        if (loop_.now() >= listAt) {
+            const auto all = co_await cloud_.list(scope_);
+            if (all) fleet_.listed(*all, loop_.now());
+            listAt = loop_.now() + 2s;
+        }
+        const fleet::Plan plan = fleet_.plan(loop_.now());
+        if (!plan.remove.empty() && leadership_.mayAct()) {
+            const bool gone = co_await cloud_.remove(plan.remove, scope_);
+            if (scope_.cancelled()) co_return;
+            if (gone) {
+                fleet_.removed(plan.remove, loop_.now());
+                kick();
+            }
+        }
+        for (const auto& rent : plan.rent) {
+            if (!leadership_.mayAct()) break;
+            const auto result = co_await cloud_.rent(rent, scope_);
+            if (scope_.cancelled()) co_return;
+            if (result.answer == fleet::Cloud::Answer::ok)
+                fleet_.rented(rent, result.names, loop_.now());
+            else
+                fleet_.rentFailed(rent, result.answer == fleet::Cloud::Answer::refused, loop_.now());
+        }
+        co_await loop_.sleep(1s, scope_);
+    }
+}
+
+http::Response Reign::later() const {
+    http::Response r = refuse(503, "not now");
+    const double backlog = static_cast<double>(writer_.backlog()) / settings_.stateWriteRps;
+    r.retryAfterS = static_cast<int>(std::clamp(backlog, 1.0, 30.0));
+    return r;
+}
+
+template <typename Fact>
+Task<bool> Reign::stands(Fact fact) {
+    const TimePoint until = loop_.now() + factPatience;
+    while (!fact()) {
+        // What the state service does not take now is refused now: the user is told when to
+        // come back, and finds the job waiting for its turn.
+        if (!writer_.healthy() || loop_.now() >= until || !leadership_.mayAct()) co_return false;
+        const Wake woke = co_await loop_.wait(written_, until, scope_);
+        if (woke == Wake::cancelled) co_return false;
+    }
+    co_return leadership_.mayAct();
+}
+
+Task<http::Response> Reign::submit(std::string body) {
+    auto parsed = jobs::parseSubmission(body);
+    if (auto* why = std::get_if<std::string>(&parsed)) co_return refuse(400, *why);
+    if (!ready()) co_return later();
+    const JobSpec& spec = std::get<JobSpec>(parsed);
+    Job* job = cluster_.find(spec.id);
+    bool fresh = false;
+    if (job == nullptr) {
+        if (cluster_.catalogue().empty()) co_return later();
+        switch (cluster_.submit(spec, loop_.now(), loop_.clock().wall())) {
+            case scheduler::Submitted::unknownTeam: co_return refuse(422, "unknown team");
+            case scheduler::Submitted::fitsNowhere:
+                co_return refuse(422, "a task fits no allowed machine type");
+            case scheduler::Submitted::overLimit:
+                co_return refuse(422, "the job needs more than its team's limit");
+            case scheduler::Submitted::known:
+            case scheduler::Submitted::fresh: break;
+        }
+        job = cluster_.find(spec.id);
+        fresh = true;
+        flush();
+    }
+    const bool accepted = co_await stands([job] { return job->accepted(); });
+    if (!accepted) co_return later();
+    if (fresh) co_return http::Response{201, jobs::statusText(job->spec.id, "pending")};
+    auto response = co_await query(job->spec.id);
+    co_return response;
+}
+
+Task<http::Response> Reign::query(JobId id) {
+    if (!ready()) co_return later();
+    const Job* job = cluster_.find(id);
+    if (job == nullptr) co_return refuse(404, "no such job");
+    if (!job->accepted()) co_return later();
+    if (job->cancelDurable()) co_return http::Response{200, jobs::statusText(*job, "cancelled")};
+    if (!job->cancelled && job->doneDurable())
+        co_return http::Response{200, jobs::statusText(*job, "done")};
+    co_return http::Response{200,
+                             jobs::statusText(*job, job->runningCount > 0 ? "running" : "pending")};
+}
+
+Task<http::Response> Reign::withdraw(JobId id) {
+    if (!ready()) co_return later();
+    Job* job = cluster_.find(id);
+    if (job == nullptr) co_return refuse(404, "no such job");
+    cluster_.cancel(*job);
+    flush();
+    const bool told = co_await stands([job] {
+        return job->accepted() && (job->cancelled ? job->cancelDurable() : job->doneDurable());
+    });
+    if (!told) co_return later();
+    co_return http::Response{200, jobs::statusText(id, job->cancelled ? "cancelled" : "done")};
+}
+
+http::Response Reign::beat(const workers::Report& report) {
+    std::vector<workers::Order> orders;
+    if (loaded_) {
+        orders = cluster_.beat(report, loop_.now());
+        kick();
+        flush();
+    }
+    http::Response r{200, workers::beatAnswer(cluster_.token(), orders)};
+    if (!leadership_.mayAct()) return later();
+    return r;
+}
+
+}  // namespace basaltchute::app
--- /dev/null
+++ b/src/app/reign.h
@@ -0,0 +1,58 @@
+#pragma once
+#include <memory>
+#include <unordered_map>
+
+#include "fleet/cloud.h"
+#include "fleet/fleet.h"
+#include "http/client.h"
+#include "leadership/leadership.h"
+#include "scheduler/cluster.h"
+#include "state/writer.h"
+
+namespace basaltchute::app {
+
+/// Everything that exists only while this node leads: made on election, ended on step-down.
+/// Requests that wait on it hold it, so it outlives its duties but never acts after them.
+class Reign {
+  public:
+    Reign(Loop& loop, const settings::Settings& settings, state::Client& state,
+          Leadership& leadership, state::Guard guard);
+    void start();
+    Task<void> end() { return scope_.end(); }
+    [[nodiscard]] bool ready() const { return loaded_ && leadership_.mayAct(); }
+    [[nodiscard]] bool loaded() const { return loaded_; }
+
+    Task<http::Response> submit(std::string body);
+    Task<http::Response> query(JobId id);
+    Task<http::Response> withdraw(JobId id);
+    http::Response beat(const workers::Report& report);
+    [[nodiscard]] const scheduler::Cluster& cluster() const { return cluster_; }
+    [[nodiscard]] std::size_t backlog() const { return writer_.backlog(); }
+    [[nodiscard]] http::Response later() const;
+
+  private:
+    Task<void> load();
+    Task<void> schedule();
+    Task<void> direct(MachineIndex machine);
+    Task<void> manageFleet();
+    /// Waits for a fact to stand in the state service; false if it cannot soon.
+    template <typename Fact>
+    Task<bool> stands(Fact fact);
+    void kick();
+    void flush();
+
+    Loop& loop_;
+    const settings::Settings& settings_;
+    state::Client& state_;
+    Leadership& leadership_;
+    Scope scope_;
+    Event written_, kicked_;
+    scheduler::Cluster cluster_;
+    state::Writer writer_;
+    fleet::Cloud cloud_;
+    fleet::Fleet fleet_;
+    std::unordered_map<MachineIndex, std::shared_ptr<http::Client>> direct_;
+    bool loaded_ = false, dirty_ = false;
+};
+
+}  // namespace basaltchute::app
--- /dev/null
+++ b/src/fleet/catalogue.h
@@ -0,0 +1,20 @@
+#pragma once
+#include <map>
+#include <string>
+#include <vector>
+
+#include "jobs/job.h"
+
+namespace basaltchute::fleet {
+
+struct MachineType {
+    std::string name;
+    Demand capacity;
+    double cacheGb = 0, fetchGbPerS = 1;
+    double price = 0, spotPrice = 0;
+    Duration boot{};
+    std::vector<std::string> zones;
+};
+using Catalogue = std::map<std::string, MachineType>;
+
+}  // namespace basaltchute::fleet
--- /dev/null
+++ b/src/fleet/cloud.cpp
@@ -0,0 +1,117 @@
+#include "fleet/cloud.h"
+
+#include <spdlog/spdlog.h>
+
+#include "json/json.h"
+
+namespace basaltchute::fleet {
+
+using namespace std::chrono_literals;
+
+Cloud::Cloud(Loop& loop, const settings::Settings& s)
+    : loop_(loop), http_(loop, s.cloud, 3), calls_(s.cloudRps * 0.8, s.cloudRps, loop.now()) {}
+
+Task<http::Outcome> Cloud::send(http::Request request, Scope& scope) {
+    while (!calls_.take(loop_.now())) {
+        const Wake woke = co_await loop_.sleep(calls_.until(loop_.now()), scope);
+        if (woke == Wake::cancelled) co_return http::Outcome{};
+    }
+    auto outcome = co_await http_.request(std::move(request), 5s, scope);
+    co_return outcome;
+}
+
+Task<std::optional<Catalogue>> Cloud::catalogue(Scope& scope) {
+    http::Request request{"GET", "/catalog", ""};
+    auto o = co_await send(std::move(request), scope);
+    if (!o.answered || o.response.status != 200) co_return std::nullopt;
+    const auto doc = json::parse(o.response.body);
+    const auto* rigs = doc ? json::array(*doc, "rigs") : nullptr;
+    if (rigs == nullptr) {
+        spdlog::warn("cloud: malformed catalogue");
+        co_return std::nullopt;
+    }
+    Catalogue out;
+    for (const auto& r : rigs->GetArray()) {
+        MachineType t;
+        t.name = json::string(r, "sku").value_or("");
+        t.capacity = {json::number(r, "cores").value_or(0), json::number(r, "gpus").value_or(0),
+                      json::number(r, "ramGb").value_or(0)};
+        t.cacheGb = json::number(r, "localGb").value_or(0);
+        t.fetchGbPerS = json::number(r, "fetchGbPerS").value_or(1);
+        t.price = json::number(r, "rate").value_or(0);
+        t.spotPrice = json::number(r, "marketPrice").value_or(t.price);
+        t.boot = fromSeconds(json::number(r, "readyS").value_or(60));
+        if (const auto* halls = json::array(r, "halls"))
+            for (const auto& h : halls->GetArray())
+                if (h.IsString()) t.zones.emplace_back(h.GetString());
+        if (!t.name.empty()) out[t.name] = t;
+    }
+    co_return out;
+}
+
+Task<std::optional<std::vector<Listed>>> Cloud::list(Scope& scope) {
+    std::vector<Listed> all;
+    std::string after;
+    while (true) {
+        http::Request request{"GET", "/hosts?page=500" + (after.empty() ? "" : "&after=" + after), ""};
+        auto o = co_await send(std::move(request), scope);
+        if (!o.answered || o.response.status != 200) co_return std::nullopt;
+        const auto doc = json::parse(o.response.body);
+        const auto* hosts = doc ? json::array(*doc, "hosts") : nullptr;
+        if (hosts == nullptr) {
+            spdlog::warn("cloud: malformed list of machines");
+            co_return std::nullopt;
+        }
+        for (const auto& h : hosts->GetArray()) {
+            Listed l;
+            l.name = json::string(h, "ref").value_or("");
+            l.address = json::string(h, "addr").value_or("");
+            l.type = json::string(h, "rigKind").value_or("");
+            l.zone = json::string(h, "hall").value_or("");
+            l.spot = json::boolean(h, "loaners").value_or(false);
+            l.status = json::string(h, "status").value_or("");
+            l.ageS = json::number(h, "ageS").value_or(0);
+            if (l.name.empty()) continue;
+            after = l.name;
+            all.push_back(std::move(l));
+        }
+        if (!json::boolean(*doc, "truncated").value_or(false) || hosts->Empty()) co_return all;
+    }
+}
+
+Task<Cloud::Rented> Cloud::rent(Rent rent, Scope& scope) {
+    json::Out out;
+    out.open().field("booking", rent.booking).field("rigKind", rent.type).field("hall", rent.zone);
+    out.field("loaners", rent.spot).field("howMany", rent.count).close();
+    http::Request request{"POST", "/hosts", out.text()};
+    auto o = co_await send(std::move(request), scope);
+    Rented result;
+    if (!o.answered) {
+        if (!o.sent) result.answer = Answer::refused;
+        co_return result;
+    }
+    const auto doc = json::parse(o.response.body);
+    if (o.response.status != 200) {
+        // "no capacity" rents nothing; in an outage the booking may be asked for again.
+        result.answer = Answer::refused;
+        co_return result;
+    }
+    const auto* hosts = doc ? json::array(*doc, "hosts") : nullptr;
+    if (hosts == nullptr) co_return result;
+    result.answer = Answer::ok;
+    for (const auto& h : hosts->GetArray())
+        if (h.IsString()) result.names.emplace_back(h.GetString());
+    co_return result;
+}
+
+Task<bool> Cloud::remove(std::vector<std::string> names, Scope& scope) {
+    json::Out out;
+    out.open().key("hosts").openArray();
+    for (const auto& n : names) out.value(n);
+    out.closeArray().close();
+    http::Request request{"POST", "/hosts/delete", out.text()};
+    auto o = co_await send(std::move(request), scope);
+    co_return o.answered && o.response.status == 200;
+}
+
+}  // namespace basaltchute::fleet
--- /dev/null
+++ b/src/fleet/cloud.h
@@ -0,0 +1,32 @@
+#pragma once
+#include <optional>
+
+#include "fleet/fleet.h"
+#include "http/client.h"
+#include "runtime/budget.h"
+
+namespace basaltchute::fleet {
+
+/// The cloud by its published protocol. Malformed answers count as no answer.
+class Cloud {
+  public:
+    Cloud(Loop& loop, const settings::Settings& settings);
+    Task<std::optional<Catalogue>> catalogue(Scope& scope);
+    Task<std::optional<std::vector<Listed>>> list(Scope& scope);
+    enum class Answer { ok, refused, unknown };
+    struct Rented {
+        Answer answer = Answer::unknown;
+        std::vector<std::string> names;
+    };
+    Task<Rented> rent(Rent rent, Scope& scope);
+    /// True once the cloud has said that the machines and all on them are gone.
+    Task<bool> remove(std::vector<std::string> names, Scope& scope);
+
+  private:
+    Task<http::Outcome> send(http::Request request, Scope& scope);
+    Loop& loop_;
+    http::Client http_;
+    Budget calls_;
+};
+
+}  // namespace basaltchute::fleet
--- /dev/null
+++ b/src/http/client.cpp
@@ -0,0 +1,47 @@
+#include "http/client.h"
+
+#include "http/parser.h"
+
+namespace basaltchute::http {
+
+namespace {
+constexpr std::size_t maxResponse = 16 * 1024 * 1024;
+}
+
+Client::Client(Loop& loop, std::string address, std::size_t maxIdle)
+    : loop_(loop), address_(std::move(address)), to_(parseAddress(address_)), maxIdle_(maxIdle) {}
+
+Task<Outcome> Client::request(Request request, Duration patience, Scope& scope) {
+    Outcome out;
+    const TimePoint until = loop_.now() + patience;
+    std::unique_ptr<Socket> socket;
+    while (!idle_.empty() && !socket) {
+        socket = std::move(idle_.back());
+        idle_.pop_back();
+        // A kept connection that has ended meanwhile is dropped before anything is sent on it.
+        if (socket->stale()) socket.reset();
+    }
+    if (!socket && to_) socket = co_await Socket::connect(loop_, *to_, until, scope);
+    if (!socket) co_return out;
+    const std::string text = serialize(request, address_);
+    out.sent = true;
+    const bool written = co_await socket->write(text, until, scope);
+    if (!written) co_return out;
+
+    Parser parser(Parser::Kind::responses, maxResponse);
+    std::string data;
+    while (true) {
+        const long n = co_await socket->read(data, until, scope);
+        if (n < 0) co_return out;
+        const auto state = n == 0 ? parser.finish() : parser.feed(data);
+        if (state == Parser::State::needMore) continue;
+        if (state != Parser::State::complete) co_return out;
+        out.answered = true;
+        out.response = parser.takeResponse();
+        if (out.response.keepAlive && n > 0 && data.empty() && idle_.size() < maxIdle_)
+            idle_.push_back(std::move(socket));
+        co_return out;
+    }
+}
+
+}  // namespace basaltchute::http
--- /dev/null
+++ b/src/jobs/job.h
@@ -0,0 +1,92 @@
+#pragma once
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "runtime/clock.h"
+#include "runtime/loop.h"
+
+namespace basaltchute {
+
+using JobId = std::string;
+using Attempt = std::uint64_t;
+/// Where a machine stands in the registry; machines are never removed from it.
+using MachineIndex = std::uint32_t;
+inline constexpr MachineIndex noMachine = UINT32_MAX;
+
+enum class Shape { array, service };
+enum class Priority { production, high, normal, low };
+
+struct Demand {
+    double cores = 0, gpus = 0, ramGb = 0;
+};
+
+struct JobSpec {
+    JobId id;
+    std::string jobClass, team;
+    Shape shape = Shape::array;
+    Priority priority = Priority::normal;
+    std::uint32_t tasks = 1;
+    Demand demand;
+    std::string image;
+    double imageGb = 0;
+    std::optional<std::vector<std::string>> types;
+    std::optional<std::string> zone;
+    bool oneZone = false, spread = false, spotAllowed = false;
+    double estimateS = 0, checkpointS = 0, saveS = 0;
+    std::optional<double> deadlineS;
+};
+
+enum class TaskState : std::uint8_t { waiting, bound, done };
+/// How far a bound task has come on its machine, as far as is known.
+enum class Phase : std::uint8_t { binding, ordered, pulling, running, saving };
+
+struct JobTask {
+    TaskState state = TaskState::waiting;
+    Phase phase = Phase::binding;
+    bool stopping = false;  // told to stop: by preemption, draining or cancellation
+    MachineIndex machine = noMachine;
+    Attempt attempt = 0;
+    TimePoint runningSince{};
+    double savedS = 0;  // progress known to be saved
+};
+
+struct Job {
+    JobSpec spec;
+    WallMillis submitted{};
+    TimePoint submittedAt{};
+    bool cancelled = false;
+    std::uint64_t cancelVersion = 0;
+    std::vector<JobTask> tasks;
+    std::uint32_t doneCount = 0, boundCount = 0, runningCount = 0;
+    /// One record per block of tasks; the first also holds the job itself.
+    struct Record {
+        std::uint64_t version = 1, durable = 0;
+    };
+    std::vector<Record> records;
+    std::uint32_t tasksPerRecord = 1;
+    // A job whose tasks fail on several machines is its owner's mistake: tried ever more rarely.
+    std::map<MachineIndex, TimePoint> failedOn;
+    std::uint32_t failures = 0;
+    TimePoint notBefore{};
+
+    [[nodiscard]] std::size_t recordOf(std::uint32_t task) const { return task / tasksPerRecord; }
+    [[nodiscard]] bool accepted() const { return records[0].durable > 0; }
+    [[nodiscard]] bool cancelDurable() const {
+        return cancelled && records[0].durable >= cancelVersion;
+    }
+    [[nodiscard]] bool allDone() const { return doneCount == spec.tasks; }
+    [[nodiscard]] bool doneDurable() const {
+        if (!allDone()) return false;
+        for (const auto& r : records)
+            if (r.durable < r.version) return false;
+        return true;
+    }
+    [[nodiscard]] bool open() const { return !cancelled && !allDone(); }
+};
+
+}  // namespace basaltchute
--- /dev/null
+++ b/src/leadership/leadership.cpp
@@ -0,0 +1,156 @@
+#include "leadership/leadership.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "json/json.h"
+
+namespace basaltchute {
+
+using namespace std::chrono_literals;
+using state::Verdict;
+
+namespace {
+const std::string prefix = "lead/";
+const std::string holderKey = "lead/holder";
+const std::string tokenKey = "lead/token";
+constexpr Duration margin = 120ms;
+}  // namespace
+
+Leadership::Leadership(Loop& loop, state::Client& client, const settings::Settings& s,
+                       std::string incarnation, Hooks hooks)
+    : loop_(loop),
+      client_(client),
+      node_(s.node),
+      incarnation_(std::move(incarnation)),
+      life_(lifeFor(s)),
+      hooks_(std::move(hooks)),
+      changed_(loop) {}
+
+Duration Leadership::lifeFor(const settings::Settings& s) {
+    // Short for quick take-over, long enough to sit out a slow answer or two; and a displaced
+    // leader's last answer plus a whole lease must end before a cancellation's time is up.
+    const Duration byLease = s.lease / 6;
+    const Duration byCancel = (s.cancelWithin - s.lease) / 4;
+    return std::clamp(std::min(byLease, byCancel), Duration(2s), Duration(3s));
+}
+
+void Leadership::extend(TimePoint sentAt) {
+    rightUntil_ = sentAt + life_ - life_ / 1000 - margin;
+}
+
+void Leadership::heard(const LeaderHint& hint) {
+    if (!known_ || hint.token > known_->token) known_ = hint;
+    if (leading_ && hint.token > token_) stepDown("a peer leads with a higher token");
+}
+
+void Leadership::stepDown(const std::string& why) {
+    if (!leading_) return;
+    spdlog::warn("stepping down from token {}: {}", token_, why);
+    rightUntil_ = TimePoint{};
+    resign_ = true;
+    changed_.notify();
+}
+
+Task<void> Leadership::run(Scope& scope) {
+    while (!scope.cancelled()) {
+        co_await follow(scope);
+        if (scope.cancelled()) break;
+        const bool won = co_await campaign(scope);
+        if (won) co_await lead(scope);
+    }
+}
+
+Task<void> Leadership::follow(Scope& scope) {
+    while (!scope.cancelled()) {
+        const state::Found found = co_await client_.get(holderKey, scope);
+        stateAnswers_ = found.verdict == Verdict::ok || found.verdict == Verdict::notFound;
+        if (found.verdict == Verdict::notFound) co_return;
+        if (found.verdict != Verdict::ok) {
+            co_await loop_.sleep(200ms, scope);
+            continue;
+        }
+        const auto doc = json::parse(found.item->data);
+        const auto node = doc ? json::string(*doc, "node") : std::nullopt;
+        const auto token = doc ? json::count(*doc, "token") : std::nullopt;
+        if (!node || !token) {
+            spdlog::error("the leader's key is malformed: {}", found.item->data);
+            co_await loop_.sleep(1s, scope);
+            continue;
+        }
+        known_ = LeaderHint{*node, *token};
+        if (*node == node_) {
+            // Held by this node's former process, which is surely gone, or by a campaign whose
+            // answer was lost. Either way nobody acts by it: give it back at once.
+            const auto grant = json::count(*doc, "grant");
+            if (grant) co_await client_.drop(*grant, scope);
+            known_.reset();
+            continue;
+        }
+        co_await client_.watch(prefix, found.at, 10s, scope);
+    }
+}
+
+Task<bool> Leadership::campaign(Scope& scope) {
+    const state::Found last = co_await client_.get(tokenKey, scope);
+    if (last.verdict != Verdict::ok && last.verdict != Verdict::notFound) co_return false;
+    Token next = 1;
+    if (last.item) {
+        const auto doc = json::parse(last.item->data);
+        const auto used = doc ? json::count(*doc, "token") : std::nullopt;
+        if (!used) {
+            spdlog::error("the token counter is malformed: {}", last.item->data);
+            co_await loop_.sleep(1s, scope);
+            co_return false;
+        }
+        next = *used + 1;
+    }
+    const state::Granted grant = co_await client_.grant(life_, scope);
+    if (grant.verdict != Verdict::ok) co_return false;
+    json::Out holder;
+    holder.open().field("node", node_).field("incarnation", incarnation_);
+    holder.field("token", next).field("grant", grant.id).close();
+    json::Out counter;
+    counter.open().field("token", next).close();
+    state::Transaction txn;
+    txn.guards = {{holderKey, 0}, {tokenKey, last.item ? last.item->revision : 0}};
+    txn.puts = {{holderKey, holder.text(), grant.id}, {tokenKey, counter.text(), std::nullopt}};
+    const state::Committed won = co_await client_.commit(std::move(txn), scope);
+    if (won.verdict != Verdict::ok) {
+        // If the answer was lost the key may be ours yet; without the grant it cannot stay.
+        co_await client_.drop(grant.id, scope);
+        co_return false;
+    }
+    token_ = next;
+    grant_ = grant.id;
+    holder_ = won.revision;
+    extend(grant.sentAt);
+    co_return true;
+}
+
+Task<void> Leadership::lead(Scope& scope) {
+    leading_ = true;
+    resign_ = false;
+    known_ = LeaderHint{node_, token_};
+    spdlog::info("leading with token {}", token_);
+    hooks_.elected(token_, state::Guard{holderKey, holder_});
+    Duration pause = life_ / 5;
+    while (!scope.cancelled() && !resign_ && loop_.now() < rightUntil_) {
+        co_await loop_.wait(changed_, std::min(loop_.now() + pause, rightUntil_), scope);
+        if (resign_ || scope.cancelled() || loop_.now() >= rightUntil_) break;
+        const state::Granted touched = co_await client_.touch(grant_, scope);
+        stateAnswers_ = touched.verdict == Verdict::ok;
+        if (touched.verdict == Verdict::ok) extend(touched.sentAt);
+        if (touched.verdict == Verdict::notFound) stepDown("the grant has ended");
+        pause = touched.verdict == Verdict::ok ? life_ / 5 : Duration(100ms);
+    }
+    if (!resign_) spdlog::warn("the right to act ended: the grant could not be renewed");
+    rightUntil_ = TimePoint{};
+    leading_ = false;
+    known_.reset();
+    co_await hooks_.deposed();
+    co_await client_.drop(grant_, scope);
+}
+
+}  // namespace basaltchute
--- /dev/null
+++ b/src/leadership/leadership.h
@@ -0,0 +1,60 @@
+#pragma once
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "state/client.h"
+
+namespace basaltchute {
+
+using Token = std::uint64_t;
+
+struct LeaderHint {
+    std::string node;
+    Token token = 0;
+};
+
+/// Election by a grant in the state service. The right to act ends by this node's own steady
+/// clock, before the grant can: counted from when the last successful touch was *sent*.
+class Leadership {
+  public:
+    struct Hooks {
+        std::function<void(Token, state::Guard)> elected;
+        std::function<Task<void>()> deposed;  // ends every duty of the leader before returning
+    };
+    Leadership(Loop& loop, state::Client& client, const settings::Settings& settings,
+               std::string incarnation, Hooks hooks);
+    Task<void> run(Scope& scope);
+
+    /// To be asked right before anything leaves: the process may have been starved meanwhile.
+    [[nodiscard]] bool mayAct() const { return leading_ && loop_.now() < rightUntil_; }
+    [[nodiscard]] bool leading() const { return leading_; }
+    [[nodiscard]] Token token() const { return token_; }
+    [[nodiscard]] const std::optional<LeaderHint>& known() const { return known_; }
+    /// The state service answered this node recently.
+    [[nodiscard]] bool stateAnswers() const { return stateAnswers_; }
+    void heard(const LeaderHint& hint);
+    void stepDown(const std::string& why);
+    [[nodiscard]] static Duration lifeFor(const settings::Settings& settings);
+
+  private:
+    Task<void> follow(Scope& scope);
+    Task<bool> campaign(Scope& scope);
+    Task<void> lead(Scope& scope);
+    void extend(TimePoint sentAt);
+
+    Loop& loop_;
+    state::Client& client_;
+    std::string node_, incarnation_;
+    Duration life_;
+    Hooks hooks_;
+    Event changed_;
+    bool leading_ = false, stateAnswers_ = false, resign_ = false;
+    Token token_ = 0;
+    state::GrantId grant_ = 0;
+    state::Revision holder_ = 0;
+    TimePoint rightUntil_{};
+    std::optional<LeaderHint> known_;
+};
+
+}  // namespace basaltchute
--- /dev/null
+++ b/src/mesh/mesh.h
@@ -0,0 +1,83 @@
+#pragma once
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "http/client.h"
+#include "leadership/leadership.h"
+#include "runtime/socket.h"
+#include "settings/settings.h"
+
+namespace basaltchute::mesh {
+
+/// Length-prefixed Cap'n Proto frames. Encoding and decoding are pure; a frame that does not
+/// decode ends its connection.
+struct Hello {
+    std::string node;
+    bool leading = false;
+    Token token = 0;
+};
+struct Message {
+    std::optional<Hello> hello;
+    std::optional<http::Request> request;
+    std::optional<http::Response> reply;
+    std::uint64_t id = 0;
+};
+std::string encode(const Message& message);
+enum class Decoded { needMore, message, broken };
+Decoded decode(std::string& data, Message& into);
+
+/// Connections between the controllers: each node dials every other and speaks on the
+/// connection it dialled; answers come back on the same one.
+class Mesh {
+  public:
+    struct Hooks {
+        std::function<Hello()> hello;
+        std::function<void(const LeaderHint&)> heard;
+        std::function<Task<http::Response>(http::Request)> serve;
+    };
+    Mesh(Loop& loop, const settings::Settings& settings, Hooks hooks);
+    void start(Scope& scope);
+    Task<http::Outcome> forward(std::string node, http::Request request, Duration patience,
+                                Scope& scope);
+    [[nodiscard]] bool connected(const std::string& node) const;
+    /// Tells every peer at once that something about this node has changed.
+    void announce();
+
+  private:
+    struct Link {
+        explicit Link(Loop& loop) : wake(loop) {}
+        std::unique_ptr<Socket> socket;
+        std::string out;
+        Event wake;
+        bool broken = false;
+    };
+    struct Pending {
+        explicit Pending(Loop& loop) : done(loop) {}
+        Event done;
+        std::optional<http::Response> response;
+        bool lost = false;
+        std::string node;
+    };
+    Task<void> dial(settings::Peer peer, Scope& scope);
+    Task<void> acceptAll(Scope& scope);
+    Task<void> serve(std::shared_ptr<Link> link, Scope& scope);
+    Task<void> answer(std::shared_ptr<Link> link, std::uint64_t id, http::Request request);
+    Task<void> flush(std::shared_ptr<Link> link, Scope& scope);
+    Task<void> greet(std::shared_ptr<Link> link, Scope& scope);
+    void say(Link& link, const Message& message);
+
+    Loop& loop_;
+    std::string listen_;
+    std::vector<settings::Peer> peers_;
+    Hooks hooks_;
+    std::unique_ptr<Listener> listener_;
+    std::map<std::string, std::shared_ptr<Link>> links_;
+    std::map<std::uint64_t, std::shared_ptr<Pending>> pending_;
+    std::uint64_t nextId_ = 1;
+    Event changed_;
+};
+
+}  // namespace basaltchute::mesh
--- /dev/null
+++ b/src/runtime/budget.h
@@ -0,0 +1,34 @@
+#pragma once
+#include <algorithm>
+
+#include "runtime/clock.h"
+
+namespace basaltchute {
+
+/// A token bucket that holds one burst; rates are per second.
+class Budget {
+  public:
+    Budget(double rate, double burst, TimePoint now)
+        : rate_(rate), burst_(burst), have_(burst), at_(now) {}
+    double available(TimePoint now) {
+        have_ = std::min(burst_, have_ + rate_ * toSeconds(now - at_));
+        at_ = now;
+        return have_;
+    }
+    bool take(TimePoint now, double n = 1) {
+        if (available(now) < n) return false;
+        have_ -= n;
+        return true;
+    }
+    /// How long until `n` are available.
+    Duration until(TimePoint now, double n = 1) {
+        const double lack = n - available(now);
+        return lack <= 0 ? Duration::zero() : fromSeconds(lack / rate_);
+    }
+
+  private:
+    double rate_, burst_, have_;
+    TimePoint at_;
+};
+
+}  // namespace basaltchute
--- /dev/null
+++ b/src/runtime/loop.cpp
@@ -0,0 +1,171 @@
+#include "runtime/loop.h"
+
+#include <spdlog/spdlog.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <system_error>
+
+namespace basaltchute {
+
+namespace {
+/// The frame that owns a spawned routine; it runs at once and frees itself at the end.
+struct Detached {
+    struct promise_type {
+        Detached get_return_object() { return {}; }
+        std::suspend_never initial_suspend() noexcept { return {}; }
+        std::suspend_never final_suspend() noexcept { return {}; }
+        void return_void() noexcept {}
+        void unhandled_exception() { std::terminate(); }
+    };
+};
+
+Detached drive(Task<void> task) {
+    try {
+        co_await task;
+    } catch (const std::exception& e) {
+        // A routine that throws has a bug of its own; the others go on serving.
+        spdlog::error("routine ended by exception: {}", e.what());
+    }
+}
+}  // namespace
+
+Event::~Event() {
+    while (!waiters_.empty()) loop_.wake(*waiters_.front(), Wake::cancelled);
+}
+void Event::notify() {
+    while (!waiters_.empty()) loop_.wake(*waiters_.front(), Wake::signalled);
+}
+Scope::~Scope() {
+    cancel();
+}
+void Scope::cancel() {
+    cancelled_ = true;
+    while (!waiters_.empty()) loop_.wake(*waiters_.front(), Wake::cancelled);
+}
+
+void Scope::spawn(Task<void> task) {
+    loop_.spawn(counted(std::move(task)));
+}
+Task<void> Scope::counted(Task<void> task) {
+    ++live_;
+    try {
+        co_await task;
+    } catch (const std::exception& e) {
+        // A routine that throws has a bug of its own; the others go on serving.
+        spdlog::error("routine ended by exception: {}", e.what());
+    }
+    if (--live_ == 0 && ending_) loop_.post(std::exchange(ending_, {}));
+}
+Task<void> Scope::end() {
+    cancel();
+    struct AllEnded {
+        Scope& scope;
+        bool await_ready() const { return scope.live_ == 0; }
+        void await_suspend(std::coroutine_handle<> h) const { scope.ending_ = h; }
+        void await_resume() const {}
+    };
+    AllEnded ended{*this};
+    co_await ended;
+}
+
+Loop::Loop(const Clock& clock) : clock_(clock), epoll_(epoll_create1(EPOLL_CLOEXEC)) {
+    if (epoll_ < 0) throw std::system_error(errno, std::generic_category(), "epoll_create1");
+}
+Loop::~Loop() {
+    close(epoll_);
+}
+
+void Loop::spawn(Task<void> task) {
+    drive(std::move(task));
+}
+
+void Loop::add(int fd, FdHandler& handler) {
+    handlers_[fd] = &handler;
+    epoll_event ev{};
+    ev.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
+    ev.data.fd = fd;
+    epoll_ctl(epoll_, EPOLL_CTL_ADD, fd, &ev);
+}
+void Loop::remove(int fd) {
+    handlers_.erase(fd);
+    epoll_ctl(epoll_, EPOLL_CTL_DEL, fd, nullptr);
+}
+
+bool Loop::Wait::await_ready() {
+    if (scope->cancelled()) {
+        waiter.result = Wake::cancelled;
+        return true;
+    }
+    return false;
+}
+void Loop::Wait::await_suspend(std::coroutine_handle<> h) {
+    waiter.handle = h;
+    waiter.event = event;
+    waiter.scope = scope;
+    if (event != nullptr) waiter.inEvent = event->waiters_.insert(event->waiters_.end(), &waiter);
+    waiter.inScope = scope->waiters_.insert(scope->waiters_.end(), &waiter);
+    if (until != TimePoint::max()) {
+        waiter.inTimers = loop.timers_.emplace(until, &waiter);
+        waiter.timed = true;
+    }
+}
+
+void Loop::wake(detail::Waiter& waiter, Wake result) {
+    waiter.result = result;
+    if (waiter.event != nullptr) waiter.event->waiters_.erase(waiter.inEvent);
+    waiter.scope->waiters_.erase(waiter.inScope);
+    if (waiter.timed) timers_.erase(waiter.inTimers);
+    ready_.push_back(waiter.handle);
+}
+
+void Loop::fireTimers() {
+    const TimePoint t = now();
+    while (!timers_.empty() && timers_.begin()->first <= t)
+        wake(*timers_.begin()->second, Wake::timeout);
+}
+void Loop::runReady() {
+    // Only what is ready now: routines that wake each other must not starve the sockets.
+    for (std::size_t n = ready_.size(); n > 0; --n) {
+        auto h = ready_.front();
+        ready_.pop_front();
+        h.resume();
+    }
+}
+void Loop::drain() {
+    fireTimers();
+    while (!ready_.empty()) {
+        runReady();
+        fireTimers();
+    }
+}
+
+void Loop::run() {
+    std::array<epoll_event, 64> events{};
+    while (!stopping_) {
+        fireTimers();
+        runReady();
+        int timeout = -1;
+        if (!ready_.empty()) {
+            timeout = 0;
+        } else if (!timers_.empty()) {
+            const auto left = std::chrono::ceil<std::chrono::milliseconds>(timers_.begin()->first - now());
+            timeout = static_cast<int>(std::clamp<std::int64_t>(left.count(), 0, 60'000));
+        }
+        if (stopping_) break;
+        const int n = epoll_wait(epoll_, events.data(), static_cast<int>(events.size()), timeout);
+        for (int i = 0; i < n; ++i) {
+            const auto& ev = events[static_cast<std::size_t>(i)];
+            // A handler may have been removed by one that ran before it in this batch.
+            auto it = handlers_.find(ev.data.fd);
+            if (it == handlers_.end()) continue;
+            const bool broken = (ev.events & (EPOLLERR | EPOLLHUP)) != 0;
+            it->second->ready(broken || (ev.events & (EPOLLIN | EPOLLRDHUP)) != 0,
+                              broken || (ev.events & EPOLLOUT) != 0);
+        }
+    }
+}
+
+}  // namespace basaltchute
--- /dev/null
+++ b/src/runtime/loop.h
@@ -0,0 +1,129 @@
+#pragma once
+#include <coroutine>
+#include <deque>
+#include <list>
+#include <map>
+
+#include "runtime/clock.h"
+#include "runtime/task.h"
+
+namespace basaltchute {
+
+class Loop;
+class Event;
+class Scope;
+
+enum class Wake { signalled, timeout, cancelled };
+
+namespace detail {
+/// One suspended wait: linked to an event, a scope and a timer, whichever wakes it first.
+struct Waiter {
+    std::coroutine_handle<> handle;
+    Wake result = Wake::signalled;
+    Event* event = nullptr;
+    Scope* scope = nullptr;
+    std::list<Waiter*>::iterator inEvent, inScope;
+    std::multimap<TimePoint, Waiter*>::iterator inTimers;
+    bool timed = false;
+};
+}  // namespace detail
+
+/// Wakes those who wait on it. Not remembered: callers check their condition before waiting.
+class Event {
+  public:
+    explicit Event(Loop& loop) : loop_(loop) {}
+    Event(const Event&) = delete;
+    Event& operator=(const Event&) = delete;
+    ~Event();
+    void notify();
+
+  private:
+    friend class Loop;
+    Loop& loop_;
+    std::list<detail::Waiter*> waiters_;
+};
+
+/// A cancellation scope: everything waiting within it is woken when it is cancelled, and
+/// every later wait returns at once. Scopes are owned by whoever starts the duty.
+class Scope {
+  public:
+    explicit Scope(Loop& loop) : loop_(loop) {}
+    Scope(const Scope&) = delete;
+    Scope& operator=(const Scope&) = delete;
+    ~Scope();
+    void cancel();
+    [[nodiscard]] bool cancelled() const { return cancelled_; }
+    /// Starts a routine that belongs to this scope: it must have ended before the scope's
+    /// owner may free what the routine uses.
+    void spawn(Task<void> task);
+    /// Cancels and waits until every routine of the scope has ended.
+    Task<void> end();
+
+  private:
+    friend class Loop;
+    Task<void> counted(Task<void> task);
+    Loop& loop_;
+    bool cancelled_ = false;
+    std::size_t live_ = 0;
+    std::coroutine_handle<> ending_;
+    std::list<detail::Waiter*> waiters_;
+};
+
+/// What epoll calls when a descriptor is ready.
+class FdHandler {
+  public:
+    virtual ~FdHandler() = default;
+    virtual void ready(bool readable, bool writable) = 0;
+};
+
+class Loop {
+  public:
+    explicit Loop(const Clock& clock);
+    ~Loop();
+    Loop(const Loop&) = delete;
+    Loop& operator=(const Loop&) = delete;
+
+    [[nodiscard]] TimePoint now() const { return clock_.now(); }
+    [[nodiscard]] const Clock& clock() const { return clock_; }
+
+    void run();
+    void stop() { stopping_ = true; }
+    /// Starts a routine that nobody awaits; it is destroyed when it ends.
+    void spawn(Task<void> task);
+    /// Runs what is ready without blocking: for tests on a fake clock.
+    void drain();
+
+    void add(int fd, FdHandler& handler);
+    void remove(int fd);
+
+    struct Wait {
+        Loop& loop;
+        Event* event;
+        TimePoint until;
+        Scope* scope;
+        detail::Waiter waiter{};
+        bool await_ready();
+        void await_suspend(std::coroutine_handle<> h);
+        Wake await_resume() const { return waiter.result; }
+    };
+    Wait wait(Event& event, TimePoint until, Scope& scope) { return {*this, &event, until, &scope}; }
+    Wait sleep(Duration d, Scope& scope) { return {*this, nullptr, now() + d, &scope}; }
+
+    void post(std::coroutine_handle<> h) { ready_.push_back(h); }
+
+  private:
+    friend class Event;
+    friend class Scope;
+    void wake(detail::Waiter& waiter, Wake result);
+    void fireTimers();
+    void runReady();
+
+    const Clock& clock_;
+    int epoll_ = -1;
+    bool stopping_ = false;
+    std::deque<std::coroutine_handle<>> ready_;
+    std::multimap<TimePoint, detail::Waiter*> timers_;
+    std::map<int, FdHandler*> handlers_;
+};
+
+}  // namespace basaltchute
--- /dev/null
+++ b/src/runtime/socket.cpp
@@ -0,0 +1,133 @@
+#include "runtime/socket.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <system_error>
+
+namespace basaltchute {
+
+std::optional<sockaddr_in> parseAddress(const std::string& text) {
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos) return std::nullopt;
+    sockaddr_in out{};
+    out.sin_family = AF_INET;
+    unsigned port = 0;
+    const char* end = text.data() + text.size();
+    const auto [p, ec] = std::from_chars(text.data() + colon + 1, end, port);
+    if (ec != std::errc{} || p != end || port > 65535) return std::nullopt;
+    out.sin_port = htons(static_cast<std::uint16_t>(port));
+    if (inet_pton(AF_INET, text.substr(0, colon).c_str(), &out.sin_addr) != 1) return std::nullopt;
+    return out;
+}
+
+Socket::Socket(Loop& loop, int fd) : loop_(loop), fd_(fd), readable_(loop), writable_(loop) {
+    const int one = 1;
+    setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+    loop_.add(fd_, *this);
+}
+Socket::~Socket() {
+    loop_.remove(fd_);
+    close(fd_);
+}
+void Socket::ready(bool readable, bool writable) {
+    if (readable) readable_.notify();
+    if (writable) writable_.notify();
+}
+
+Task<std::unique_ptr<Socket>> Socket::connect(Loop& loop, sockaddr_in to, TimePoint until,
+                                              Scope& scope) {
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) co_return nullptr;
+    const int rc = ::connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to);
+    if (rc != 0 && errno != EINPROGRESS) {
+        close(fd);
+        co_return nullptr;
+    }
+    auto out = std::make_unique<Socket>(loop, fd);
+    if (rc != 0) {
+        const Wake woke = co_await loop.wait(out->writable_, until, scope);
+        int err = 0;
+        socklen_t len = sizeof err;
+        getsockopt(fd, SOL_SOCKET, SO_ERROR, &err, &len);
+        if (woke != Wake::signalled || err != 0) co_return nullptr;
+    }
+    co_return std::move(out);
+}
+
+Task<long> Socket::read(std::string& into, TimePoint until, Scope& scope) {
+    std::array<char, 16384> buffer;
+    while (true) {
+        const ssize_t n = ::recv(fd_, buffer.data(), buffer.size(), 0);
+        if (n >= 0) {
+            into.append(buffer.data(), static_cast<std::size_t>(n));
+            co_return static_cast<long>(n);
+        }
+        if (errno == EINTR) continue;
+        if (errno != EAGAIN && errno != EWOULDBLOCK) co_return -1;
+        const Wake woke = co_await loop_.wait(readable_, until, scope);
+        if (woke != Wake::signalled) co_return -1;
+    }
+}
+
+Task<bool> Socket::write(std::string_view data, TimePoint until, Scope& scope) {
+    while (!data.empty()) {
+        const ssize_t n = ::send(fd_, data.data(), data.size(), MSG_NOSIGNAL);
+        if (n > 0) {
+            data.remove_prefix(static_cast<std::size_t>(n));
+            continue;
+        }
+        if (n < 0 && errno == EINTR) continue;
+        if (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK) co_return false;
+        const Wake woke = co_await loop_.wait(writable_, until, scope);
+        if (woke != Wake::signalled) co_return false;
+    }
+    co_return true;
+}
+
+bool Socket::stale() const {
+    char c = 0;
+    const ssize_t n = ::recv(fd_, &c, 1, MSG_PEEK);
+    return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+Listener::Listener(Loop& loop, const std::string& address) : loop_(loop), acceptable_(loop) {
+    const auto addr = parseAddress(address);
+    if (!addr) throw std::runtime_error("not an IPv4 address with a port: " + address);
+    fd_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int one = 1;
+    setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+    if (fd_ < 0 || bind(fd_, reinterpret_cast<const sockaddr*>(&*addr), sizeof *addr) != 0 ||
+        listen(fd_, 512) != 0) {
+        const int err = errno;
+        if (fd_ >= 0) close(fd_);
+        throw std::system_error(err, std::generic_category(), "listen on " + address);
+    }
+    loop_.add(fd_, *this);
+}
+Listener::~Listener() {
+    loop_.remove(fd_);
+    close(fd_);
+}
+void Listener::ready(bool readable, bool) {
+    if (readable) acceptable_.notify();
+}
+Task<std::unique_ptr<Socket>> Listener::accept(Scope& scope) {
+    while (true) {
+        const int fd = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd >= 0) co_return std::make_unique<Socket>(loop_, fd);
+        if (errno == EINTR || errno == ECONNABORTED) continue;
+        // Out of sockets: edge-triggered readiness will not come again, so look again shortly.
+        const bool dry = errno == EAGAIN || errno == EWOULDBLOCK;
+        const TimePoint until = dry ? TimePoint::max() : loop_.now() + std::chrono::milliseconds(50);
+        const Wake woke = co_await loop_.wait(acceptable_, until, scope);
+        if (woke == Wake::cancelled) co_return nullptr;
+    }
+}
+
+}  // namespace basaltchute
--- /dev/null
+++ b/src/scheduler/cluster.cpp
@@ -0,0 +1,490 @@
+#include "scheduler/cluster.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "jobs/codec.h"
+
+namespace basaltchute::scheduler {
+
+using namespace std::chrono_literals;
+using state::Urgency;
+using workers::Charge;
+using workers::ExitCause;
+using workers::Machine;
+using workers::Order;
+using workers::Presence;
+using workers::Report;
+using workers::ReportedTask;
+using workers::TaskStatus;
+using workers::Verb;
+
+namespace {
+constexpr Duration leaseMargin = 500ms;
+constexpr std::size_t maxOrders = 300;  // an answer is one line of at most 64 KiB
+
+/// The longest a worker may still hold a lease that was renewed at `t` by our clock.
+TimePoint leaseEnd(const settings::Settings& s, TimePoint t) {
+    return t + s.lease + s.lease / 1000 + leaseMargin;
+}
+void add(Demand& d, const Demand& x, double sign) {
+    d.cores += sign * x.cores;
+    d.gpus += sign * x.gpus;
+    d.ramGb += sign * x.ramGb;
+}
+}  // namespace
+
+Cluster::Cluster(const settings::Settings& settings, Token token, TimePoint now)
+    : settings_(settings), token_(token), since_(now) {}
+
+// ---------------------------------------------------------------- records
+
+void Cluster::touch(Job& job, std::uint32_t task, Urgency urgency) {
+    const std::size_t r = job.recordOf(task);
+    ++job.records[r].version;
+    effects_.dirty.emplace_back(jobs::recordKey(job.spec.id, r), urgency);
+}
+
+bool Cluster::load(const std::string& key, const std::string& data, TimePoint now, WallMillis wall) {
+    return jobs::decodeRecord(
+        key, data, settings_.valueBytes, [&](const JobId& id) { return find(id); },
+        [&](std::unique_ptr<Job> job) {
+            job->submittedAt = now - std::max(WallMillis(0), wall - job->submitted);
+            Job* raw = job.get();
+            jobs_[raw->spec.id] = std::move(job);
+            return raw;
+        },
+        [&](const std::string& name) { return machines_.indexOf(name); });
+}
+
+void Cluster::loaded(TimePoint now) {
+    for (auto& [id, job] : jobs_) {
+        if (job->open()) open_.push_back(job.get());
+        for (std::uint32_t t = 0; t < job->spec.tasks; ++t) {
+            const JobTask& task = job->tasks[t];
+            if (task.state != TaskState::bound) continue;
+            Charge c;
+            c.job = job.get();
+            c.task = t;
+            c.attempt = task.attempt;
+            c.sent = c.recovered = true;
+            c.boundAt = now;
+            machines_[task.machine].charges.push_back(c);
+            add(teamUse_[job->spec.team], job->spec.demand, 1);
+        }
+    }
+    // The former leader's right had ended before this one's began.
+    for (auto& m : machines_) m.leaseEnd = leaseEnd(settings_, now);
+}
+
+state::Encoded Cluster::encode(const std::string& key) const {
+    const std::string rest = key.substr(jobs::recordPrefix.size());
+    const auto slash = rest.find('/');
+    const Job& job = *jobs_.at(rest.substr(0, slash));
+    const std::size_t r = slash == std::string::npos ? 0 : std::stoul(rest.substr(slash + 1));
+    return {jobs::encodeRecord(
+                job, r, [&](MachineIndex i) -> const std::string& { return machines_[i].name; }),
+            job.records[r].version};
+}
+
+void Cluster::committed(const std::string& key, std::uint64_t version) {
+    const std::string rest = key.substr(jobs::recordPrefix.size());
+    const auto slash = rest.find('/');
+    Job& job = *jobs_.at(rest.substr(0, slash));
+    const std::size_t r = slash == std::string::npos ? 0 : std::stoul(rest.substr(slash + 1));
+    job.records[r].durable = std::max(job.records[r].durable, version);
+    if (!job.open() && !job.cancelled) return;
+    const auto from = static_cast<std::uint32_t>(r * job.tasksPerRecord);
+    const auto to = std::min(from + job.tasksPerRecord, job.spec.tasks);
+    for (std::uint32_t t = from; t < to; ++t)
+        if (job.tasks[t].state == TaskState::bound &&
+            (job.cancelled || job.tasks[t].phase == Phase::binding))
+            effects_.push.insert(job.tasks[t].machine);
+}
+
+// ---------------------------------------------------------------- users
+
+Job* Cluster::find(const JobId& id) {
+    const auto it = jobs_.find(id);
+    return it == jobs_.end() ? nullptr : it->second.get();
+}
+
+bool Cluster::typeAllowed(const JobSpec& s, const std::string& type) const {
+    return !s.types || std::find(s.types->begin(), s.types->end(), type) != s.types->end();
+}
+
+Submitted Cluster::submit(const JobSpec& spec, TimePoint now, WallMillis wall) {
+    if (find(spec.id) != nullptr) return Submitted::known;
+    const auto team = std::find_if(settings_.teams.begin(), settings_.teams.end(),
+                                   [&](const auto& t) { return t.name == spec.team; });
+    if (team == settings_.teams.end()) return Submitted::unknownTeam;
+    const bool fits = std::any_of(catalogue_.begin(), catalogue_.end(), [&](const auto& entry) {
+        const fleet::MachineType& t = entry.second;
+        return typeAllowed(spec, t.name) && spec.demand.cores <= t.capacity.cores &&
+               spec.demand.gpus <= t.capacity.gpus && spec.demand.ramGb <= t.capacity.ramGb &&
+               (!spec.zone ||
+                std::find(t.zones.begin(), t.zones.end(), *spec.zone) != t.zones.end());
+    });
+    if (!fits) return Submitted::fitsNowhere;
+    const double n = spec.shape == Shape::service ? spec.tasks : 1;
+    if ((team->coresMax > 0 && spec.demand.cores * n > team->coresMax) ||
+        (team->gpusMax > 0 && spec.demand.gpus * n > team->gpusMax))
+        return Submitted::overLimit;
+    auto job = jobs::makeJob(spec, settings_.valueBytes);
+    job->submitted = wall;
+    job->submittedAt = now;
+    job->records[0].version = 0;
+    open_.push_back(job.get());
+    Job& ref = *job;
+    jobs_[spec.id] = std::move(job);
+    touch(ref, 0, Urgency::users);
+    return Submitted::fresh;
+}
+
+void Cluster::cancel(Job& job) {
+    if (job.cancelled || job.allDone()) return;
+    job.cancelled = true;
+    touch(job, 0, Urgency::users);
+    job.cancelVersion = job.records[0].version;
+    std::erase(open_, &job);
+    // Bindings whose launch never left need no proof.
+    for (MachineIndex i = 0; i < machines_.size(); ++i) {
+        auto& charges = machines_[i].charges;
+        for (std::size_t c = charges.size(); c-- > 0;)
+            if (charges[c].job == &job && !charges[c].sent) release(i, c);
+    }
+}
+
+// ---------------------------------------------------------------- charges
+
+bool Cluster::owns(const Charge& c, MachineIndex machine) const {
+    const JobTask& t = c.job->tasks[c.task];
+    return t.state == TaskState::bound && t.machine == machine && t.attempt == c.attempt;
+}
+
+void Cluster::unbind(Job& job, std::uint32_t task) {
+    JobTask& t = job.tasks[task];
+    if (t.phase == Phase::running || t.phase == Phase::saving) --job.runningCount;
+    t.state = TaskState::waiting;
+    t.phase = Phase::binding;
+    t.stopping = false;
+    t.machine = noMachine;
+    --job.boundCount;
+    touch(job, task, Urgency::rest);
+}
+
+void Cluster::finish(Job& job, std::uint32_t task) {
+    JobTask& t = job.tasks[task];
+    if (t.state == TaskState::done) return;
+    if (t.state == TaskState::bound) {
+        if (t.phase == Phase::running || t.phase == Phase::saving) --job.runningCount;
+        --job.boundCount;
+    }
+    t.state = TaskState::done;
+    t.machine = noMachine;
+    ++job.doneCount;
+    touch(job, task, Urgency::rest);
+    if (job.allDone()) std::erase(open_, &job);
+}
+
+void Cluster::release(MachineIndex machine, std::size_t charge) {
+    Machine& m = machines_[machine];
+    const Charge c = m.charges[charge];
+    m.charges.erase(m.charges.begin() + static_cast<std::ptrdiff_t>(charge));
+    add(teamUse_[c.job->spec.team], c.job->spec.demand, -1);
+    if (owns(c, machine)) unbind(*c.job, c.task);
+}
+
+void Cluster::releaseAll(MachineIndex machine) {
+    while (!machines_[machine].charges.empty())
+        release(machine, machines_[machine].charges.size() - 1);
+}
+
+void Cluster::bind(Job& job, std::uint32_t task, MachineIndex machine, TimePoint now) {
+    JobTask& t = job.tasks[task];
+    t.state = TaskState::bound;
+    t.phase = Phase::binding;
+    t.stopping = false;
+    t.machine = machine;
+    ++t.attempt;
+    ++job.boundCount;
+    touch(job, task, Urgency::bindings);
+    Charge c;
+    c.job = &job;
+    c.task = task;
+    c.attempt = t.attempt;
+    c.version = job.records[job.recordOf(task)].version;
+    c.boundAt = now;
+    machines_[machine].charges.push_back(c);
+    add(teamUse_[job.spec.team], job.spec.demand, 1);
+}
+
+void Cluster::machineGone(MachineIndex machine, TimePoint now) {
+    Machine& m = machines_[machine];
+    m.presence = Presence::gone;
+    m.heardAt = now;
+    releaseAll(machine);
+}
+
+void Cluster::expire(TimePoint now) {
+    for (MachineIndex i = 0; i < machines_.size(); ++i) {
+        Machine& m = machines_[i];
+        if (m.presence == Presence::gone || m.charges.empty() || now < m.leaseEnd) continue;
+        // Nobody can have renewed it: the worker has killed everything and begun a new session,
+        // which also fences direct orders that are still under way.
+        spdlog::warn("machine {} silent for a whole lease: {} tasks released", m.name,
+                     m.charges.size());
+        m.deadSession = std::max(m.deadSession, m.session);
+        m.keep.clear();
+        releaseAll(i);
+    }
+}
+
+// ---------------------------------------------------------------- reports
+
+void Cluster::setPhase(Job& job, JobTask& task, Phase phase, TimePoint now) {
+    const auto on = [](Phase p) { return p == Phase::running || p == Phase::saving; };
+    if (on(phase) && !on(task.phase)) {
+        ++job.runningCount;
+        task.runningSince = now;
+    }
+    if (!on(phase) && on(task.phase)) --job.runningCount;
+    task.phase = phase;
+}
+
+void Cluster::failed(Machine& m, MachineIndex index, Job& job, TimePoint now) {
+    ++m.failures;
+    ++job.failures;
+    m.failedJobs.insert(job.spec.id);
+    job.failedOn[index] = now;
+    m.avoidUntil = now + 10s;
+    // A job that fails wherever it goes is at fault itself; a machine that fails several jobs is.
+    if (job.failedOn.size() >= 3) {
+        const auto tries = std::min<std::uint32_t>(job.failures, 8);
+        job.notBefore = now + std::min<Duration>(60s, 1s * (1U << tries) / 4);
+        return;
+    }
+    if (m.failedJobs.size() >= 2 && !m.sick) {
+        m.sick = true;
+        spdlog::warn("machine {} fails its tasks: no more work for it", m.name);
+    }
+}
+
+void Cluster::exited(MachineIndex machine, const ReportedTask& t, TimePoint now) {
+    Machine& m = machines_[machine];
+    Job* job = find(t.job);
+    if (job == nullptr || t.task >= job->spec.tasks) return;
+    const auto c = std::find_if(m.charges.begin(), m.charges.end(), [&](const Charge& x) {
+        return x.job == job && x.task == t.task && x.attempt == t.attempt;
+    });
+    if (t.cause == ExitCause::done && job->spec.shape == Shape::array) {
+        // A result is a result, whichever attempt brought it.
+        finish(*job, t.task);
+    }
+    if (c == m.charges.end()) return;
+    if (c->directUnknown || c->directPending) m.keep.emplace(t.job, t.task, t.attempt);
+    const bool mine = owns(*c, machine);
+    switch (t.cause) {
+        case ExitCause::done:
+            m.failedJobs.clear();
+            m.failures = 0;
+            break;
+        case ExitCause::error:
+            if (mine) failed(m, machine, *job, now);
+            break;
+        case ExitCause::full: m.avoidUntil = now + 2s; break;
+        case ExitCause::busy:
+        case ExitCause::noSuch: job->notBefore = now + 1s; break;
+        case ExitCause::stopped:
+        case ExitCause::other: break;
+    }
+    release(machine, static_cast<std::size_t>(c - m.charges.begin()));
+}
+
+void Cluster::seen(MachineIndex machine, const ReportedTask& t, TimePoint now) {
+    Machine& m = machines_[machine];
+    Job* job = find(t.job);
+    if (job == nullptr || t.task >= job->spec.tasks) {
+        m.strangers.push_back(t);
+        return;
+    }
+    auto c = std::find_if(m.charges.begin(), m.charges.end(), [&](const Charge& x) {
+        return x.job == job && x.task == t.task && x.attempt == t.attempt;
+    });
+    JobTask& task = job->tasks[t.task];
+    if (c == m.charges.end()) {
+        Charge fresh;
+        fresh.job = job;
+        fresh.task = t.task;
+        fresh.attempt = t.attempt;
+        fresh.sent = true;
+        fresh.boundAt = now;
+        if (task.state == TaskState::waiting && t.attempt >= task.attempt && job->open()) {
+            // It runs although no record says so: it stays where it is, on record.
+            task.state = TaskState::bound;
+            task.machine = machine;
+            task.attempt = t.attempt;
+            ++job->boundCount;
+            touch(*job, t.task, Urgency::bindings);
+        } else {
+            fresh.ghost = true;
+        }
+        add(teamUse_[job->spec.team], job->spec.demand, 1);
+        m.charges.push_back(fresh);
+        c = std::prev(m.charges.end());
+    }
+    c->seen = true;
+    c->recovered = false;
+    if (!owns(*c, machine)) return;
+    const Phase before = task.phase;
+    const Phase phase = t.status == TaskStatus::pulling  ? Phase::pulling
+                        : t.status == TaskStatus::saving ? Phase::saving
+                                                         : Phase::running;
+    setPhase(*job, task, phase, now);
+    if (phase != Phase::pulling && before != Phase::running) m.images[job->spec.image] = now;
+}
+
+void Cluster::report(const Report& r, Source source, TimePoint now) {
+    const MachineIndex index = machines_.indexOf(r.machine);
+    Machine& m = machines_[index];
+    if (m.presence == Presence::gone) return;
+    m.address = r.address;
+    m.type = r.type;
+    m.zone = r.zone;
+    m.spot = r.spot;
+    if (m.presence == Presence::expected) {
+        m.presence = Presence::up;
+        m.idleSince = now;
+    }
+    if (std::tie(r.session, r.sequence) <= std::tie(m.session, m.sequence)) return;
+    if (r.session > m.session && m.session != 0) {
+        m.keep.clear();
+        m.images.clear();
+        // The worker killed all it had. Bindings whose launch never left are still good.
+        for (std::size_t c = m.charges.size(); c-- > 0;)
+            if (m.charges[c].sent) release(index, c);
+    }
+    m.session = r.session;
+    m.sequence = r.sequence;
+    if (r.session <= m.deadSession) {
+        // A report held back since before the lease ran out: only results in it still count.
+        for (const auto& t : r.tasks)
+            if (t.status == TaskStatus::exited && t.cause == ExitCause::done) exited(index, t, now);
+        return;
+    }
+    m.heardAt = now;
+    if (r.notice && !m.recalledAt) spdlog::info("machine {} is to be taken back", m.name);
+    if (r.notice) m.recalledAt = now + *r.notice;
+    m.exited.clear();
+    m.strangers.clear();
+    for (const auto& t : r.tasks) {
+        if (t.status == TaskStatus::exited) {
+            exited(index, t, now);
+            m.exited.push_back(t);
+        } else {
+            seen(index, t, now);
+        }
+    }
+    for (std::size_t i = m.charges.size(); i-- > 0;) {
+        const Charge& c = m.charges[i];
+        const bool listed = std::any_of(r.tasks.begin(), r.tasks.end(), [&](const auto& t) {
+            return t.attempt == c.attempt && t.task == c.task && t.job == c.job->spec.id;
+        });
+        if (listed || !c.sent) continue;
+        // Not mentioned. Proof that it is not there, unless a launch may still be on its way:
+        // those of a former leader are fenced once the worker has seen our token.
+        const bool fenced = c.recovered && r.token == token_;
+        // A launch inside the answer to a beat is executed or dropped before the next beat is
+        // sent; the body of a direct answer may be older than that.
+        const bool unlaunched = source == Source::beat && mustStop(c) && !c.recovered &&
+                                !c.directPending && !c.directUnknown;
+        if (c.seen || fenced || unlaunched) release(index, i);
+    }
+    if (!m.charges.empty()) m.idleSince = now;
+}
+
+bool Cluster::mustStop(const Charge& c) const {
+    return c.ghost || !c.job->open() || c.job->tasks[c.task].state != TaskState::bound ||
+           c.job->tasks[c.task].attempt != c.attempt || c.job->tasks[c.task].stopping;
+}
+
+std::vector<Order> Cluster::orders(MachineIndex machine, bool direct) {
+    Machine& m = machines_[machine];
+    std::vector<Order> out;
+    if (!direct) {
+        for (const auto& t : m.exited) {
+            if (out.size() >= maxOrders) break;
+            if (m.keep.contains({t.job, t.task, t.attempt})) continue;
+            const Job* job = find(t.job);
+            // What the exit proves must be on record first: a forgotten result is lost for good.
+            if (job != nullptr && t.task < job->spec.tasks) {
+                const auto& record = job->records[job->recordOf(t.task)];
+                if (record.durable < record.version) continue;
+            }
+            out.push_back({Verb::forget, t.job, t.task, t.attempt, {}});
+        }
+    }
+    for (const auto& t : m.strangers)
+        out.push_back({Verb::stop, t.job, t.task, t.attempt, {}});
+    for (auto& c : m.charges) {
+        if (out.size() >= maxOrders) break;
+        const JobSpec& spec = c.job->spec;
+        const JobTask& task = c.job->tasks[c.task];
+        if (mustStop(c)) {
+            if (!c.sent || (direct && c.stopSent)) continue;
+            const bool save = task.stopping && c.job->open() && spec.checkpointS > 0;
+            if (!c.seen && c.directUnknown)
+                // The launch may come yet. Making the attempt known and ending it at once
+                // turns the late one into a repetition, which does nothing.
+                out.push_back({Verb::launch, spec.id, c.task, c.attempt, {}});
+            out.push_back({Verb::stop, spec.id, c.task, c.attempt,
+                           save ? fromSeconds(spec.saveS + 0.5) : Duration::zero()});
+            c.stopSent = true;
+        } else if (!c.seen && !c.recovered) {
+            const auto& record = c.job->records[c.job->recordOf(c.task)];
+            if (record.durable < c.version) continue;
+            if (direct && (c.sent || c.directPending)) continue;
+            out.push_back({Verb::launch, spec.id, c.task, c.attempt, {}});
+            c.sent = true;
+            c.directPending = c.directPending || direct;
+            c.job->tasks[c.task].phase = Phase::ordered;
+        }
+    }
+    return out;
+}
+
+std::vector<Order> Cluster::beat(const Report& r, TimePoint now) {
+    report(r, Source::beat, now);
+    const auto index = machines_.indexOf(r.machine);
+    Machine& m = machines_[index];
+    m.leaseEnd = leaseEnd(settings_, now);
+    if (m.presence == Presence::gone || r.session <= m.deadSession || r.session != m.session ||
+        r.sequence != m.sequence)
+        return {};
+    return orders(index, false);
+}
+
+std::vector<Order> Cluster::directOrders(MachineIndex machine, TimePoint now) {
+    Machine& m = machines_[machine];
+    if (m.directBusy || !m.up() || !fresh(m, now)) return {};
+    auto out = orders(machine, true);
+    m.directBusy = !out.empty();
+    return out;
+}
+
+void Cluster::directEnded(MachineIndex machine, bool sent, bool answered) {
+    Machine& m = machines_[machine];
+    m.directBusy = false;
+    for (auto& c : m.charges) {
+        if (!c.directPending) continue;
+        c.directPending = false;
+        if (sent && !answered) c.directUnknown = true;
+    }
+}
+
+bool Cluster::fresh(const Machine& m, TimePoint now) const {
+    return m.up() && m.session > m.deadSession && now - m.heardAt < settings_.reportEvery * 2;
+}
+
+}  // namespace basaltchute::scheduler
--- /dev/null
+++ b/src/scheduler/cluster.h
@@ -0,0 +1,103 @@
+#pragma once
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "fleet/catalogue.h"
+#include "jobs/job.h"
+#include "settings/settings.h"
+#include "state/writer.h"
+#include "workers/machine.h"
+
+namespace basaltchute::scheduler {
+
+/// What the outside has to do after an input: values, so that tests can look at them.
+struct Effects {
+    std::vector<std::pair<std::string, state::Urgency>> dirty;
+    std::set<MachineIndex> push;  // machines with orders worth sending at once
+};
+
+enum class Submitted { fresh, known, unknownTeam, fitsNowhere, overLimit };
+
+/// All that a leader knows: jobs, machines, and what is possibly where. Pure: inputs are
+/// reports, requests and the passing of time, outputs are Effects and orders.
+class Cluster {
+  public:
+    Cluster(const settings::Settings& settings, Token token, TimePoint now);
+
+    // Records
+    bool load(const std::string& key, const std::string& data, TimePoint now, WallMillis wall);
+    void loaded(TimePoint now);
+    [[nodiscard]] state::Encoded encode(const std::string& key) const;
+    void committed(const std::string& key, std::uint64_t version);
+
+    // Users
+    [[nodiscard]] Job* find(const JobId& id);
+    Submitted submit(const JobSpec& spec, TimePoint now, WallMillis wall);
+    void cancel(Job& job);
+
+    // Machines
+    /// The orders that answer the report; to be called before anything is answered.
+    std::vector<workers::Order> beat(const workers::Report& report, TimePoint now);
+    enum class Source { beat, direct };
+    void report(const workers::Report& report, Source source, TimePoint now);
+    std::vector<workers::Order> directOrders(MachineIndex machine, TimePoint now);
+    void directEnded(MachineIndex machine, bool sent, bool answered);
+    void machineGone(MachineIndex machine, TimePoint now);
+    void expire(TimePoint now);
+
+    /// Decides what runs where; safe to call at any time.
+    void place(TimePoint now);
+    void drain(MachineIndex machine, TimePoint now);
+
+    void setCatalogue(fleet::Catalogue catalogue) { catalogue_ = std::move(catalogue); }
+    [[nodiscard]] const fleet::Catalogue& catalogue() const { return catalogue_; }
+    [[nodiscard]] workers::Registry& machines() { return machines_; }
+    [[nodiscard]] const workers::Registry& machines() const { return machines_; }
+    [[nodiscard]] const std::vector<Job*>& openJobs() const { return open_; }
+    [[nodiscard]] std::size_t jobCount() const { return jobs_.size(); }
+    [[nodiscard]] Token token() const { return token_; }
+    [[nodiscard]] const settings::Settings& settings() const { return settings_; }
+    /// Heard from recently enough to be worth placing work on.
+    [[nodiscard]] bool fresh(const workers::Machine& m, TimePoint now) const;
+    [[nodiscard]] Demand freeOn(const workers::Machine& m) const;
+    Effects take() { return std::exchange(effects_, {}); }
+
+  private:
+    void touch(Job& job, std::uint32_t task, state::Urgency urgency);
+    void bind(Job& job, std::uint32_t task, MachineIndex machine, TimePoint now);
+    void finish(Job& job, std::uint32_t task);
+    void unbind(Job& job, std::uint32_t task);
+    bool owns(const workers::Charge& c, MachineIndex machine) const;
+    void release(MachineIndex machine, std::size_t charge);
+    void releaseAll(MachineIndex machine);
+    void setPhase(Job& job, JobTask& task, Phase phase, TimePoint now);
+    void seen(MachineIndex machine, const workers::ReportedTask& t, TimePoint now);
+    void exited(MachineIndex machine, const workers::ReportedTask& t, TimePoint now);
+    void failed(workers::Machine& m, MachineIndex index, Job& job, TimePoint now);
+    bool mustStop(const workers::Charge& c) const;
+    std::vector<workers::Order> orders(MachineIndex machine, bool direct);
+
+    // Placement
+    [[nodiscard]] bool typeAllowed(const JobSpec& s, const std::string& type) const;
+    [[nodiscard]] bool allowed(const Job& job, const workers::Machine& m) const;
+    [[nodiscard]] double startDelay(const JobSpec& s, const workers::Machine& m) const;
+    MachineIndex pick(const Job& job, TimePoint now) const;
+    void preemptFor(const Job& job, TimePoint now);
+    [[nodiscard]] bool withinLimit(const Job& job) const;
+
+    const settings::Settings& settings_;
+    Token token_;
+    TimePoint since_;
+    fleet::Catalogue catalogue_;
+    std::unordered_map<JobId, std::unique_ptr<Job>> jobs_;
+    std::vector<Job*> open_;
+    workers::Registry machines_;
+    std::unordered_map<std::string, Demand> teamUse_;  // of everything possibly running
+    Effects effects_;
+};
+
+}  // namespace basaltchute::scheduler
--- /dev/null
+++ b/src/scheduler/placement.cpp
@@ -0,0 +1,211 @@
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+#include "scheduler/cluster.h"
+
+namespace basaltchute::scheduler {
+
+using namespace std::chrono_literals;
+using workers::Charge;
+using workers::Machine;
+
+namespace {
+
+constexpr double epsilon = 1e-6;  // amounts are decimal fractions
+
+bool fits(const Demand& need, const Demand& have) {
+    return need.cores <= have.cores + epsilon && need.gpus <= have.gpus + epsilon &&
+           need.ramGb <= have.ramGb + epsilon;
+}
+
+/// When the job should be served, for the order among jobs of one priority.
+TimePoint due(const Job& job) {
+    if (job.spec.deadlineS) return job.submittedAt + fromSeconds(*job.spec.deadlineS - job.spec.estimateS);
+    return job.submittedAt;
+}
+
+}  // namespace
+
+Demand Cluster::freeOn(const Machine& m) const {
+    const auto type = catalogue_.find(m.type);
+    if (type == catalogue_.end()) return {};
+    Demand free = type->second.capacity;
+    for (const auto& c : m.charges) {
+        free.cores -= c.job->spec.demand.cores;
+        free.gpus -= c.job->spec.demand.gpus;
+        free.ramGb -= c.job->spec.demand.ramGb;
+    }
+    return free;
+}
+
+bool Cluster::allowed(const Job& job, const Machine& m) const {
+    const JobSpec& s = job.spec;
+    if (m.spot && !s.spotAllowed) return false;
+    if (!typeAllowed(s, m.type)) return false;
+    if (s.zone && *s.zone != m.zone) return false;
+    if (!s.oneZone && !s.spread) return true;
+    // Judged against everything of the job that may be somewhere, not only what is reported.
+    std::uint32_t here = 0;
+    for (const auto& other : machines_) {
+        for (const auto& c : other.charges) {
+            if (c.job != &job) continue;
+            if (other.zone == m.zone) ++here;
+            else if (s.oneZone) return false;
+        }
+    }
+    return !s.spread || here < (s.tasks + 1) / 2;
+}
+
+bool Cluster::withinLimit(const Job& job) const {
+    const auto team = std::find_if(settings_.teams.begin(), settings_.teams.end(),
+                                   [&](const auto& t) { return t.name == job.spec.team; });
+    if (team == settings_.teams.end()) return false;
+    const auto used = teamUse_.find(job.spec.team);
+    const Demand now = used == teamUse_.end() ? Demand{} : used->second;
+    return (team->coresMax <= 0 || now.cores + job.spec.demand.cores <= team->coresMax + epsilon) &&
+           (team->gpusMax <= 0 || now.gpus + job.spec.demand.gpus <= team->gpusMax + epsilon);
+}
+
+double Cluster::startDelay(const JobSpec& s, const Machine& m) const {
+    if (m.images.contains(s.image)) return 0;
+    const auto type = catalogue_.find(m.type);
+    if (type == catalogue_.end()) return 0;
+    const double fetch = s.imageGb / std::max(type->second.fetchGbPerS, 1e-3);
+    // Joining a fetch that is under way costs only what is left of it.
+    for (const auto& c : m.charges)
+        if (c.job->spec.image == s.image) return fetch / 2;
+    return fetch;
+}
+
+MachineIndex Cluster::pick(const Job& job, TimePoint now) const {
+    MachineIndex best = noMachine;
+    double bestCost = std::numeric_limits<double>::infinity();
+    for (MachineIndex i = 0; i < machines_.size(); ++i) {
+        const Machine& m = machines_[i];
+        if (!fresh(m, now) || m.sick || m.draining || m.recalledAt || now < m.avoidUntil) continue;
+        const auto failed = job.failedOn.find(i);
+        if (failed != job.failedOn.end() && now - failed->second < 60s) continue;
+        const Demand free = freeOn(m);
+        if (!fits(job.spec.demand, free)) continue;
+        if (!allowed(job, m)) continue;
+        const Demand& whole = catalogue_.at(m.type).capacity;
+        // Seconds until it runs, then: leave ordinary machines to work that needs them, and
+        // fill the fullest machine that has room so that whole ones stay whole.
+        double cost = startDelay(job.spec, m);
+        if (job.spec.spotAllowed && !m.spot) cost += 4;
+        cost += (free.cores - job.spec.demand.cores) / std::max(whole.cores, 1.0);
+        if (cost < bestCost) {
+            bestCost = cost;
+            best = i;
+        }
+    }
+    return best;
+}
+
+void Cluster::preemptFor(const Job& job, TimePoint now) {
+    // Choose the machine on which stopping the least recent work makes room.
+    MachineIndex best = noMachine;
+    std::vector<std::size_t> victims;
+    double bestLoss = std::numeric_limits<double>::infinity();
+    for (MachineIndex i = 0; i < machines_.size(); ++i) {
+        const Machine& m = machines_[i];
+        if (!fresh(m, now) || m.sick || m.draining || m.recalledAt || !allowed(job, m)) continue;
+        Demand room = freeOn(m);
+        const auto take = [&](const Charge& c) {
+            room.cores += c.job->spec.demand.cores;
+            room.gpus += c.job->spec.demand.gpus;
+            room.ramGb += c.job->spec.demand.ramGb;
+        };
+        for (const auto& c : m.charges)
+            if (mustStop(c)) take(c);
+        if (fits(job.spec.demand, room)) return;  // room is being made already
+        std::vector<std::pair<double, std::size_t>> candidates;
+        for (std::size_t k = 0; k < m.charges.size(); ++k) {
+            const Charge& c = m.charges[k];
+            if (mustStop(c) || c.job->spec.priority <= job.spec.priority) continue;
+            const JobTask& t = c.job->tasks[c.task];
+            const double ran = t.phase == Phase::running ? toSeconds(now - t.runningSince) : 0;
+            const double lost = c.job->spec.checkpointS > 0 ? c.job->spec.saveS : ran;
+            candidates.emplace_back(lost, k);
+        }
+        std::sort(candidates.begin(), candidates.end());
+        std::vector<std::size_t> chosen;
+        double loss = startDelay(job.spec, m);
+        for (const auto& [lost, k] : candidates) {
+            if (fits(job.spec.demand, room)) break;
+            take(m.charges[k]);
+            loss += lost + 1;
+            chosen.push_back(k);
+        }
+        if (fits(job.spec.demand, room) && loss < bestLoss) {
+            bestLoss = loss;
+            best = i;
+            victims = std::move(chosen);
+        }
+    }
+    if (best == noMachine) return;
+    for (const std::size_t k : victims) {
+        const Charge& c = machines_[best].charges[k];
+        c.job->tasks[c.task].stopping = true;
+    }
+    effects_.push.insert(best);
+}
+
+void Cluster::place(TimePoint now) {
+    struct Entry {
+        Job* job;
+        std::uint32_t next = 0;
+    };
+    std::vector<Entry> queue;
+    for (Job* job : open_) {
+        const std::uint32_t waiting = job->spec.tasks - job->doneCount - job->boundCount;
+        if (waiting > 0 && job->accepted() && now >= job->notBefore) queue.push_back({job});
+    }
+    std::stable_sort(queue.begin(), queue.end(), [](const Entry& a, const Entry& b) {
+        return std::make_tuple(a.job->spec.priority, due(*a.job)) <
+               std::make_tuple(b.job->spec.priority, due(*b.job));
+    });
+    // Within a priority the team that uses least goes next: max-min, one task at a time.
+    for (auto from = queue.begin(); from != queue.end();) {
+        auto to = std::find_if(from, queue.end(), [&](const Entry& e) {
+            return e.job->spec.priority != from->job->spec.priority;
+        });
+        std::vector<Entry*> live;
+        for (auto e = from; e != to; ++e) live.push_back(&*e);
+        while (!live.empty()) {
+            const auto least = std::min_element(live.begin(), live.end(), [&](Entry* a, Entry* b) {
+                return teamUse_[a->job->spec.team].cores < teamUse_[b->job->spec.team].cores;
+            });
+            Entry& e = **least;
+            Job& job = *e.job;
+            while (e.next < job.spec.tasks && job.tasks[e.next].state != TaskState::waiting) ++e.next;
+            if (e.next >= job.spec.tasks || !withinLimit(job)) {
+                live.erase(least);
+                continue;
+            }
+            const MachineIndex m = pick(job, now);
+            if (m == noMachine) {
+                if (job.spec.priority != Priority::low) preemptFor(job, now);
+                live.erase(least);
+                continue;
+            }
+            bind(job, e.next, m, now);
+        }
+        from = to;
+    }
+}
+
+void Cluster::drain(MachineIndex machine, TimePoint) {
+    Machine& m = machines_[machine];
+    m.draining = true;
+    for (const auto& c : m.charges) {
+        if (!owns(c, machine)) continue;
+        c.job->tasks[c.task].stopping = true;
+    }
+    if (!m.charges.empty()) effects_.push.insert(machine);
+}
+
+}  // namespace basaltchute::scheduler
--- /dev/null
+++ b/src/settings/settings.cpp
@@ -0,0 +1,123 @@
+#include "settings/settings.h"
+
+#include <fstream>
+#include <sstream>
+
+#include "json/json.h"
+#include "runtime/socket.h"
+
+namespace basaltchute::settings {
+
+namespace {
+
+/// Reads members of one object and remembers the first that is wrong, with its path.
+class Reader {
+  public:
+    Reader(const json::Value* v, std::string path, Error& error)
+        : v_(v), path_(std::move(path)), error_(error) {}
+
+    std::string text(const char* name) {
+        const auto s = v_ != nullptr ? json::string(*v_, name) : std::nullopt;
+        if (!s || s->empty()) fail(name, "a non-empty string");
+        return s.value_or("");
+    }
+    std::string address(const char* name) {
+        auto s = text(name);
+        if (!parseAddress(s)) fail(name, "an IPv4 address with a port");
+        return s;
+    }
+    double number(const char* name, double above) {
+        const auto n = v_ != nullptr ? json::number(*v_, name) : std::nullopt;
+        if (!n || *n <= above) fail(name, above < 0 ? "a number of at least 0" : "a number above 0");
+        return n.value_or(0);
+    }
+    double positive(const char* name) { return number(name, 0); }
+    double amount(const char* name) { return number(name, -1e-9); }
+    double amountOr(const char* name, double fallback) {
+        return v_ != nullptr && json::find(*v_, name) != nullptr ? amount(name) : fallback;
+    }
+    Reader object(const char* name) {
+        const json::Value* o = v_ != nullptr ? json::find(*v_, name) : nullptr;
+        if (o == nullptr || !o->IsObject()) {
+            fail(name, "an object");
+            o = nullptr;
+        }
+        return {o, path_ + name + '.', error_};
+    }
+    template <typename F>
+    void each(const char* name, F f) {
+        const json::Value* a = v_ != nullptr ? json::array(*v_, name) : nullptr;
+        if (a == nullptr) return fail(name, "an array");
+        unsigned i = 0;
+        for (const auto& item : a->GetArray())
+            f(item, Reader(&item, path_ + name + '[' + std::to_string(i++) + "].", error_));
+    }
+    void fail(const char* name, const char* expected) {
+        if (error_.empty()) error_ = path_ + name + ": expected " + expected;
+    }
+
+  private:
+    const json::Value* v_;
+    std::string path_;
+    Error& error_;
+};
+
+}  // namespace
+
+std::variant<Settings, Error> parse(const std::string& text) {
+    const auto doc = json::parse(text);
+    if (!doc) return Error("not JSON");
+    if (!doc->IsObject()) return Error("expected a JSON object");
+    Error error;
+    Settings s;
+    Reader root(&*doc, "", error);
+    s.node = root.text("node_name");
+    s.zone = root.text("area");
+    s.listen = root.address("client_listen");
+    s.meshListen = root.address("mesh_addr");
+    root.each("seeds", [&](const json::Value&, Reader r) {
+        s.peers.push_back({r.text("node_name"), r.text("area"), r.address("address")});
+    });
+    Reader endpoints = root.object("endpoints");
+    s.cloud = endpoints.address("cloud");
+    s.state = endpoints.address("state");
+    Reader params = root.object("params");
+    params.each("zones", [&](const json::Value& v, Reader r) {
+        if (!v.IsString()) return r.fail("", "a string");
+        s.zones.emplace_back(v.GetString());
+    });
+    params.each("teams", [&](const json::Value&, Reader r) {
+        s.teams.push_back({r.text("name"), r.amountOr("cpus", 0), r.amountOr("cpus_max", 0),
+                           r.amountOr("gpus", 0), r.amountOr("gpus_max", 0)});
+    });
+    params.each("objectives", [&](const json::Value&, Reader r) {
+        s.objectives.push_back({r.text("kind"), r.text("class"),
+                                fromSeconds(r.amountOr("within_s", 0)), r.amountOr("share", 0)});
+    });
+    Reader workers = params.object("workers");
+    s.reportEvery = fromSeconds(workers.positive("report_s"));
+    s.lease = fromSeconds(workers.positive("lease_s"));
+    s.cancelWithin = fromSeconds(workers.positive("cancel_s"));
+    Reader state = params.object("state");
+    s.stateRps = state.positive("rps");
+    s.stateWriteRps = state.positive("write_rps");
+    s.valueBytes = static_cast<std::size_t>(state.positive("value_kb") * 1024);
+    s.txnOps = static_cast<std::size_t>(state.positive("txn_ops"));
+    if (s.txnOps < 2) state.fail("txn_ops", "at least 2");
+    Reader cloud = params.object("cloud");
+    s.cloudRps = cloud.positive("rps");
+    s.listLag = fromSeconds(cloud.amount("list_lag_s"));
+    s.sockets = static_cast<std::size_t>(params.object("machine_limits").positive("fd_limit"));
+    if (!error.empty()) return error;
+    return s;
+}
+
+std::variant<Settings, Error> load(const std::string& path) {
+    std::ifstream file(path);
+    if (!file) return Error("cannot be read");
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parse(text.str());
+}
+
+}  // namespace basaltchute::settings
--- /dev/null
+++ b/src/settings/settings.h
@@ -0,0 +1,43 @@
+#pragma once
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "runtime/clock.h"
+
+namespace basaltchute::settings {
+
+struct Peer {
+    std::string name, zone, address;
+};
+struct Team {
+    std::string name;
+    double cores = 0, coresMax = 0, gpus = 0, gpusMax = 0;  // 0: none set
+};
+struct Objective {
+    std::string kind, jobClass;
+    Duration within{};
+    double share = 0;
+};
+
+/// What the platform hands to each controller.
+struct Settings {
+    std::string node, zone, listen, meshListen, cloud, state;
+    std::vector<Peer> peers;
+    std::vector<std::string> zones;
+    std::vector<Team> teams;
+    std::vector<Objective> objectives;
+    Duration reportEvery{}, lease{}, cancelWithin{};
+    double stateRps = 0, stateWriteRps = 0;
+    std::size_t valueBytes = 0, txnOps = 0;
+    double cloudRps = 0;
+    Duration listLag{};
+    std::size_t sockets = 0;
+};
+
+/// One line: which field is wrong and what was expected there.
+using Error = std::string;
+std::variant<Settings, Error> parse(const std::string& text);
+std::variant<Settings, Error> load(const std::string& path);
+
+}  // namespace basaltchute::settings
--- /dev/null
+++ b/src/state/client.cpp
@@ -0,0 +1,178 @@
+#include "state/client.h"
+
+#include <spdlog/spdlog.h>
+
+#include "json/json.h"
+
+namespace basaltchute::state {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration patience = 1500ms;
+
+Verdict verdictOf(const http::Outcome& o) {
+    if (!o.answered) return o.sent ? Verdict::unknown : Verdict::refused;
+    switch (o.response.status) {
+        case 200: return Verdict::ok;
+        case 404: return Verdict::notFound;
+        case 409: return Verdict::conflict;
+        case 400:
+            spdlog::warn("state service calls a request malformed: {}", o.response.body);
+            return Verdict::refused;
+        default: return Verdict::refused;  // 429, 503: not executed
+    }
+}
+
+std::string textOf(const json::Value& v) {
+    rapidjson::StringBuffer b;
+    rapidjson::Writer<rapidjson::StringBuffer> w(b);
+    v.Accept(w);
+    return {b.GetString(), b.GetSize()};
+}
+
+std::optional<Item> itemOf(const json::Value& v) {
+    auto key = json::string(v, "key");
+    const auto stamp = json::count(v, "stamp");
+    const auto* data = json::find(v, "data");
+    if (!key || !stamp || data == nullptr) return std::nullopt;
+    return Item{std::move(*key), textOf(*data), *stamp};
+}
+
+}  // namespace
+
+Client::Client(Loop& loop, const settings::Settings& s)
+    : loop_(loop),
+      http_(loop, s.state, 6),
+      // The limit is the whole service's: one leader and its followers must fit in together.
+      requests_(s.stateRps * 0.7, s.stateRps * 0.5, loop.now()),
+      writes_(s.stateWriteRps * 0.95, s.stateWriteRps * 0.9, loop.now()) {}
+
+Task<http::Outcome> Client::send(http::Request request, Duration wait, Scope& scope) {
+    while (!requests_.take(loop_.now())) {
+        const Wake woke = co_await loop_.sleep(requests_.until(loop_.now()), scope);
+        if (woke == Wake::cancelled) co_return http::Outcome{};
+    }
+    auto outcome = co_await http_.request(std::move(request), wait, scope);
+    co_return outcome;
+}
+
+Task<Committed> Client::commit(Transaction txn, Scope& scope) {
+    json::Out out;
+    out.open().key("guards").openArray();
+    for (const auto& g : txn.guards) out.open().field("key", g.key).field("stamp", g.revision).close();
+    out.closeArray().key("then").openArray();
+    for (const auto& p : txn.puts) {
+        out.open().field("put", p.key).key("data").raw(p.data);
+        if (p.grant) out.field("hold", *p.grant);
+        out.close();
+    }
+    out.closeArray().close();
+    http::Request request{"POST", "/multi", out.text()};
+    auto o = co_await send(std::move(request), patience, scope);
+    Committed result;
+    result.verdict = verdictOf(o);
+    if (!o.answered || (o.response.status != 200 && o.response.status != 409)) co_return result;
+    const auto doc = json::parse(o.response.body);
+    const auto epoch = doc ? json::count(*doc, "epoch") : std::nullopt;
+    if (!epoch) {
+        spdlog::warn("state service: malformed answer to a transaction");
+        result.verdict = Verdict::unknown;
+        co_return result;
+    }
+    result.revision = *epoch;
+    if (const auto* failed = json::array(*doc, "failed"))
+        for (const auto& k : failed->GetArray())
+            if (k.IsString()) result.failed.emplace_back(k.GetString());
+    co_return result;
+}
+
+Task<Found> Client::get(std::string key, Scope& scope) {
+    http::Request request{"GET", "/keys/" + key, ""};
+    auto o = co_await send(std::move(request), patience, scope);
+    Found found;
+    found.verdict = verdictOf(o);
+    if (!o.answered || (o.response.status != 200 && o.response.status != 404)) co_return found;
+    const auto doc = json::parse(o.response.body);
+    if (doc && found.verdict == Verdict::ok) found.item = itemOf(*doc);
+    if (doc && found.verdict == Verdict::notFound) found.at = json::count(*doc, "epoch").value_or(0);
+    if (found.verdict == Verdict::ok && !found.item) found.verdict = Verdict::unknown;
+    if (found.item) found.at = found.item->revision;
+    co_return found;
+}
+
+Task<Listing> Client::list(std::string prefix, Scope& scope) {
+    Listing all;
+    std::string after;
+    while (true) {
+        http::Request request{"GET", "/keys?under=" + prefix + "&page=1000", ""};
+        if (!after.empty()) request.target += "&after=" + after;
+        auto o = co_await send(std::move(request), 4s, scope);
+        all.verdict = verdictOf(o);
+        if (all.verdict != Verdict::ok) co_return all;
+        const auto doc = json::parse(o.response.body);
+        const auto* pairs = doc ? json::array(*doc, "pairs") : nullptr;
+        const auto more = doc ? json::boolean(*doc, "truncated") : std::nullopt;
+        if (pairs == nullptr) {
+            all.verdict = Verdict::unknown;
+            co_return all;
+        }
+        for (const auto& p : pairs->GetArray()) {
+            auto item = itemOf(p);
+            if (!item) {
+                spdlog::error("state service: malformed item under {}", prefix);
+                all.verdict = Verdict::unknown;
+                co_return all;
+            }
+            after = item->key;
+            all.items.push_back(std::move(*item));
+        }
+        all.at = json::count(*doc, "epoch").value_or(0);
+        if (!more.value_or(false) || pairs->Empty()) co_return all;
+    }
+}
+
+Task<Granted> Client::grant(Duration life, Scope& scope) {
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(life).count();
+    json::Out out;
+    out.open().field("lifeMs", static_cast<std::int64_t>(ms)).close();
+    http::Request request{"POST", "/grants", out.text()};
+    Granted g;
+    g.sentAt = loop_.now();
+    auto o = co_await send(std::move(request), patience, scope);
+    g.verdict = verdictOf(o);
+    if (g.verdict != Verdict::ok) co_return g;
+    const auto doc = json::parse(o.response.body);
+    const auto id = doc ? json::count(*doc, "hold") : std::nullopt;
+    if (!id) g.verdict = Verdict::unknown;
+    g.id = id.value_or(0);
+    co_return g;
+}
+
+Task<Granted> Client::touch(GrantId id, Scope& scope) {
+    http::Request request{"POST", "/grants/" + std::to_string(id) + "/touch", ""};
+    Granted g;
+    g.id = id;
+    g.sentAt = loop_.now();
+    auto o = co_await send(std::move(request), 700ms, scope);
+    g.verdict = verdictOf(o);
+    co_return g;
+}
+
+Task<void> Client::drop(GrantId id, Scope& scope) {
+    http::Request request{"DELETE", "/grants/" + std::to_string(id), ""};
+    co_await send(std::move(request), patience, scope);
+}
+
+Task<Verdict> Client::watch(std::string prefix, Revision after, Duration wait, Scope& scope) {
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+    http::Request request{"GET",
+                          "/watch?under=" + prefix + "&after=" + std::to_string(after) +
+                              "&waitMs=" + std::to_string(ms),
+                          ""};
+    auto o = co_await send(std::move(request), wait + 2s, scope);
+    co_return verdictOf(o);
+}
+
+}  // namespace basaltchute::state
--- /dev/null
+++ b/src/state/client.h
@@ -0,0 +1,79 @@
+#pragma once
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "http/client.h"
+#include "runtime/budget.h"
+#include "settings/settings.h"
+
+namespace basaltchute::state {
+
+using Revision = std::uint64_t;
+using GrantId = std::uint64_t;
+
+/// How a request ended. `refused`: surely not executed. `unknown`: may have been, or may be yet.
+enum class Verdict { ok, notFound, conflict, refused, unknown };
+
+struct Guard {
+    std::string key;
+    Revision revision = 0;  // 0: the key does not exist
+};
+struct Put {
+    std::string key;
+    std::string data;  // JSON text
+    std::optional<GrantId> grant;
+};
+struct Transaction {
+    std::vector<Guard> guards;
+    std::vector<Put> puts;
+};
+struct Committed {
+    Verdict verdict = Verdict::unknown;
+    Revision revision = 0;
+    std::vector<std::string> failed;
+};
+struct Item {
+    std::string key;
+    std::string data;
+    Revision revision = 0;
+};
+struct Found {
+    Verdict verdict = Verdict::unknown;
+    std::optional<Item> item;
+    Revision at = 0;
+};
+struct Listing {
+    Verdict verdict = Verdict::unknown;
+    std::vector<Item> items;
+    Revision at = 0;
+};
+struct Granted {
+    Verdict verdict = Verdict::unknown;
+    GrantId id = 0;
+    TimePoint sentAt{};
+};
+
+/// The state service by its published protocol. Malformed answers count as no answer.
+class Client {
+  public:
+    Client(Loop& loop, const settings::Settings& settings);
+    Task<Committed> commit(Transaction txn, Scope& scope);
+    Task<Found> get(std::string key, Scope& scope);
+    Task<Listing> list(std::string prefix, Scope& scope);
+    Task<Granted> grant(Duration life, Scope& scope);
+    Task<Granted> touch(GrantId id, Scope& scope);
+    Task<void> drop(GrantId id, Scope& scope);
+    /// Ends when something under the prefix changes after `after`, or after `patience`.
+    Task<Verdict> watch(std::string prefix, Revision after, Duration patience, Scope& scope);
+    [[nodiscard]] Budget& writes() { return writes_; }
+
+  private:
+    Task<http::Outcome> send(http::Request request, Duration patience, Scope& scope);
+    Loop& loop_;
+    http::Client http_;
+    Budget requests_, writes_;
+};
+
+}  // namespace basaltchute::state
--- /dev/null
+++ b/src/state/writer.h
@@ -0,0 +1,63 @@
+#pragma once
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "state/client.h"
+
+namespace basaltchute::state {
+
+/// Smaller goes first.
+enum class Urgency { users, bindings, rest };
+
+struct Encoded {
+    std::string data;
+    std::uint64_t version = 0;
+};
+
+/// Writes dirty records in groups within the write budget. A record that changes several
+/// times before its turn is written once. Every transaction is guarded by the leader's own
+/// key, and each record by its last known revision: a transaction of ours that was given up
+/// and is applied late must not undo a newer one.
+class Writer {
+  public:
+    struct Hooks {
+        std::function<Encoded(const std::string& key)> encode;
+        std::function<void(const std::string& key, std::uint64_t version)> committed;
+        std::function<void()> troubled;  // a write was refused or lost its answer
+        std::function<void()> fenced;    // another leader holds the key
+    };
+    Writer(Loop& loop, Client& client, std::size_t txnOps, Guard leader, Hooks hooks);
+
+    void known(const std::string& key, Revision revision) { revisions_[key] = revision; }
+    void dirty(const std::string& key, Urgency urgency);
+    Task<void> run(Scope& scope);
+    /// False while the last word of the state service was a refusal or silence.
+    [[nodiscard]] bool healthy() const { return healthy_; }
+    [[nodiscard]] std::size_t backlog() const { return queue_.size(); }
+
+  private:
+    struct Waiting {
+        Urgency urgency;
+        TimePoint since;
+    };
+    std::vector<std::string> nextBatch(TimePoint now);
+    Task<void> write(std::vector<std::string> keys, Scope& scope);
+
+    Loop& loop_;
+    Client& client_;
+    std::size_t txnOps_;
+    Guard leader_;
+    Hooks hooks_;
+    Event wake_;
+    std::unordered_map<std::string, Revision> revisions_;
+    std::map<std::string, Waiting> queue_;
+    std::set<std::string> inFlight_;
+    std::size_t transactions_ = 0;
+    TimePoint pauseUntil_{};
+    bool healthy_ = true;
+};
+
+}  // namespace basaltchute::state
--- /dev/null
+++ b/src/workers/machine.h
@@ -0,0 +1,89 @@
+#pragma once
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+#include "workers/report.h"
+
+namespace basaltchute::workers {
+
+/// An attempt that is possibly on a machine. It keeps its resources until there is proof that
+/// it is not: an exit reported, a newer session, a lease that has surely run out, or the
+/// cloud's answer that the machine is deleted.
+struct Charge {
+    Job* job = nullptr;
+    std::uint32_t task = 0;
+    Attempt attempt = 0;
+    std::uint64_t version = 0;   // of the job's record that holds the binding
+    bool seen = false;           // reported in this session
+    bool sent = false;           // a launch has left
+    bool directPending = false;  // a direct launch is in flight
+    bool directUnknown = false;  // a direct launch went unanswered: it may arrive minutes later
+    bool recovered = false;      // bound by a former leader
+    bool ghost = false;          // on the machine, but not where its task belongs
+    bool stopSent = false;
+    TimePoint boundAt{};
+};
+
+enum class Presence { expected, up, gone };
+
+struct Machine {
+    std::string name, address, type, zone;
+    bool spot = false;
+    Presence presence = Presence::expected;
+    std::uint64_t session = 0, sequence = 0;
+    std::uint64_t deadSession = 0;  // sessions up to this one are surely over
+    TimePoint heardAt{};            // when its last news came
+    TimePoint leaseEnd{};           // when its lease has surely run out, whoever answered it last
+    std::optional<TimePoint> recalledAt;
+    std::vector<Charge> charges;
+    std::vector<ReportedTask> exited;     // as last reported
+    std::vector<ReportedTask> strangers;  // on it, but of no job on record
+    /// Attempts that must stay known to the worker: a late direct launch would start them again.
+    std::set<std::tuple<JobId, std::uint32_t, Attempt>> keep;
+    std::map<std::string, TimePoint> images;  // seen here, and when last used
+    std::set<JobId> failedJobs;               // since its last success
+    std::uint32_t failures = 0;
+    TimePoint avoidUntil{};
+    bool sick = false;
+    bool draining = false;  // to be returned
+    TimePoint idleSince{};
+    TimePoint rentedAt{};
+    bool directBusy = false;
+
+    [[nodiscard]] bool up() const { return presence == Presence::up; }
+};
+
+/// Every machine this leader has heard of. Indices stay valid for good.
+class Registry {
+  public:
+    MachineIndex indexOf(const std::string& name) {
+        const auto [it, fresh] = byName_.try_emplace(name, static_cast<MachineIndex>(all_.size()));
+        if (fresh) {
+            all_.emplace_back();
+            all_.back().name = name;
+        }
+        return it->second;
+    }
+    [[nodiscard]] std::optional<MachineIndex> find(const std::string& name) const {
+        const auto it = byName_.find(name);
+        return it == byName_.end() ? std::nullopt : std::optional(it->second);
+    }
+    Machine& operator[](MachineIndex i) { return all_[i]; }
+    const Machine& operator[](MachineIndex i) const { return all_[i]; }
+    [[nodiscard]] MachineIndex size() const { return static_cast<MachineIndex>(all_.size()); }
+    auto begin() { return all_.begin(); }
+    auto end() { return all_.end(); }
+    [[nodiscard]] auto begin() const { return all_.begin(); }
+    [[nodiscard]] auto end() const { return all_.end(); }
+
+  private:
+    std::vector<Machine> all_;
+    std::unordered_map<std::string, MachineIndex> byName_;
+};
+
+}  // namespace basaltchute::workers
--- /dev/null
+++ b/src/workers/report.cpp
@@ -0,0 +1,102 @@
+#include "workers/report.h"
+
+#include <charconv>
+
+#include "json/json.h"
+
+namespace basaltchute::workers {
+
+namespace {
+
+TaskStatus statusOf(const std::string& s) {
+    if (s == "pulling") return TaskStatus::pulling;
+    if (s == "running") return TaskStatus::running;
+    if (s == "saving") return TaskStatus::saving;
+    if (s == "exited") return TaskStatus::exited;
+    return TaskStatus::other;  // still on the machine, whatever it is called
+}
+ExitCause causeOf(const std::string& s) {
+    if (s == "done") return ExitCause::done;
+    if (s == "stopped") return ExitCause::stopped;
+    if (s == "error") return ExitCause::error;
+    if (s == "full") return ExitCause::full;
+    if (s == "busy") return ExitCause::busy;
+    if (s == "no_such") return ExitCause::noSuch;
+    return ExitCause::other;
+}
+
+void write(json::Out& o, const std::vector<Order>& orders) {
+    o.key("orders").openArray();
+    for (const auto& order : orders) {
+        const char* verb = order.verb == Verb::launch ? "launch"
+                           : order.verb == Verb::stop ? "stop"
+                                                      : "forget";
+        o.open().field("verb", verb);
+        o.field("split", order.job + '/' + std::to_string(order.task));
+        o.field("try", order.attempt);
+        if (order.verb == Verb::stop) o.field("windDownS", toSeconds(order.grace));
+        o.close();
+    }
+    o.closeArray();
+}
+
+}  // namespace
+
+std::optional<Report> parseReport(const std::string& body) {
+    const auto doc = json::parse(body);
+    if (!doc || !doc->IsObject()) return std::nullopt;
+    auto host = json::string(*doc, "host");
+    auto addr = json::string(*doc, "addr");
+    auto type = json::string(*doc, "rigKind");
+    auto zone = json::string(*doc, "hall");
+    const auto session = json::count(*doc, "stint");
+    const auto sequence = json::count(*doc, "tick");
+    const auto* tasks = json::array(*doc, "splits");
+    if (!host || host->empty() || !addr || !type || !zone || !session || !sequence ||
+        tasks == nullptr)
+        return std::nullopt;
+    Report r;
+    r.machine = std::move(*host);
+    r.address = std::move(*addr);
+    r.type = std::move(*type);
+    r.zone = std::move(*zone);
+    r.spot = json::boolean(*doc, "loaners").value_or(false);
+    r.session = *session;
+    r.sequence = *sequence;
+    r.token = json::count(*doc, "baton").value_or(0);
+    if (const auto n = json::number(*doc, "recallS")) r.notice = fromSeconds(*n);
+    for (const auto& t : tasks->GetArray()) {
+        const auto name = json::string(t, "split");
+        const auto attempt = json::count(t, "try");
+        const auto slash = name ? name->rfind('/') : std::string::npos;
+        if (!attempt || slash == std::string::npos) return std::nullopt;
+        ReportedTask out;
+        out.job = name->substr(0, slash);
+        const char* end = name->data() + name->size();
+        const auto [p, ec] = std::from_chars(name->data() + slash + 1, end, out.task);
+        if (ec != std::errc{} || p != end) return std::nullopt;
+        out.attempt = *attempt;
+        out.status = statusOf(json::string(t, "status").value_or(""));
+        out.cause = causeOf(json::string(t, "cause").value_or(""));
+        out.saved = json::boolean(t, "stored").value_or(false);
+        r.tasks.push_back(std::move(out));
+    }
+    return r;
+}
+
+std::string beatAnswer(Token token, const std::vector<Order>& orders) {
+    json::Out o;
+    o.open().field("baton", token);
+    write(o, orders);
+    o.close();
+    return o.text();
+}
+std::string directOrders(Token token, std::uint64_t session, const std::vector<Order>& orders) {
+    json::Out o;
+    o.open().field("baton", token).field("stint", session);
+    write(o, orders);
+    o.close();
+    return o.text();
+}
+
+}  // namespace basaltchute::workers
