Gangs, tests on a fake clock with scripted workers

The published form names arrays and services; the platform's own loopback check also submits gangs, so they are taken: bound all at once, launched once every binding stands.

--- a/src/http/server.h
+++ b/src/http/server.h
@@ -23,6 +23,7 @@
     using Handler = std::function<Task<Response>(Request)>;
     Server(Loop& loop, const std::string& address, ServerLimits limits, Handler handler);
     void start(Scope& scope);
+    [[nodiscard]] std::string address() const { return listener_.address(); }
     [[nodiscard]] std::size_t connections() const { return open_.size(); }
 
   private:
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -18,6 +18,9 @@
      {"normal", Priority::normal},
      {"low", Priority::low}}};
 
+constexpr std::array<std::pair<const char*, Shape>, 3> shapes{
+    {{"array", Shape::array}, {"standing", Shape::service}, {"group", Shape::gang}}};
+
 /// Reads the fields of a submission and remembers the first that is wrong.
 class Fields {
   public:
@@ -56,8 +59,10 @@
     s.jobClass = f.text("category");
     s.team = f.text("crew");
     const std::string shape = f.text("shape");
-    if (shape == "standing") s.shape = Shape::service;
-    else if (shape != "array") f.fail("shape");
+    const auto named = std::find_if(shapes.begin(), shapes.end(),
+                                    [&](const auto& e) { return shape == e.first; });
+    if (named == shapes.end()) f.fail("shape");
+    else s.shape = named->second;
     const std::string rank = f.text("rank");
     const auto p = std::find_if(priorities.begin(), priorities.end(),
                                 [&](const auto& e) { return rank == e.first; });
@@ -96,8 +101,10 @@
 void writeSpec(json::Out& o, const JobSpec& s) {
     const auto p = std::find_if(priorities.begin(), priorities.end(),
                                 [&](const auto& e) { return s.priority == e.second; });
+    const auto shape = std::find_if(shapes.begin(), shapes.end(),
+                                    [&](const auto& e) { return s.shape == e.second; });
     o.open().field("ref", s.id).field("category", s.jobClass).field("crew", s.team);
-    o.field("shape", s.shape == Shape::array ? "array" : "standing").field("rank", p->first);
+    o.field("shape", shape->first).field("rank", p->first);
     o.field("splits", s.tasks).field("cores", s.demand.cores).field("gpus", s.demand.gpus);
     o.field("ramGb", s.demand.ramGb).field("build", s.image).field("sizeGb", s.imageGb);
     if (s.types) {
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -18,7 +18,7 @@
 using MachineIndex = std::uint32_t;
 inline constexpr MachineIndex noMachine = UINT32_MAX;
 
-enum class Shape { array, service };
+enum class Shape { array, service, gang };  // a gang's tasks run all together or not at all
 enum class Priority { production, high, normal, low };
 
 struct Demand {
--- a/src/runtime/loop.cpp
+++ b/src/runtime/loop.cpp
@@ -134,38 +134,31 @@
         h.resume();
     }
 }
-void Loop::drain() {
+bool Loop::turn(Duration most) {
+    std::array<epoll_event, 64> events{};
     fireTimers();
-    while (!ready_.empty()) {
-        runReady();
-        fireTimers();
+    bool busy = !ready_.empty();
+    runReady();
+    if (!ready_.empty()) most = Duration::zero();
+    else if (!timers_.empty()) most = std::clamp(timers_.begin()->first - now(), Duration::zero(), most);
+    const auto timeout = std::chrono::ceil<std::chrono::milliseconds>(most).count();
+    const int n = epoll_wait(epoll_, events.data(), static_cast<int>(events.size()),
+                             static_cast<int>(timeout));
+    for (int i = 0; i < n; ++i) {
+        const auto& ev = events[static_cast<std::size_t>(i)];
+        // A handler may have been removed by one that ran before it in this batch.
+        const auto it = handlers_.find(ev.data.fd);
+        if (it == handlers_.end()) continue;
+        busy = true;
+        const bool broken = (ev.events & (EPOLLERR | EPOLLHUP)) != 0;
+        it->second->ready(broken || (ev.events & (EPOLLIN | EPOLLRDHUP)) != 0,
+                          broken || (ev.events & EPOLLOUT) != 0);
     }
+    return busy || !ready_.empty();
 }
 
 void Loop::run() {
-    std::array<epoll_event, 64> events{};
-    while (!stopping_) {
-        fireTimers();
-        runReady();
-        int timeout = -1;
-        if (!ready_.empty()) {
-            timeout = 0;
-        } else if (!timers_.empty()) {
-            const auto left = std::chrono::ceil<std::chrono::milliseconds>(timers_.begin()->first - now());
-            timeout = static_cast<int>(std::clamp<std::int64_t>(left.count(), 0, 60'000));
-        }
-        if (stopping_) break;
-        const int n = epoll_wait(epoll_, events.data(), static_cast<int>(events.size()), timeout);
-        for (int i = 0; i < n; ++i) {
-            const auto& ev = events[static_cast<std::size_t>(i)];
-            // A handler may have been removed by one that ran before it in this batch.
-            auto it = handlers_.find(ev.data.fd);
-            if (it == handlers_.end()) continue;
-            const bool broken = (ev.events & (EPOLLERR | EPOLLHUP)) != 0;
-            it->second->ready(broken || (ev.events & (EPOLLIN | EPOLLRDHUP)) != 0,
-                              broken || (ev.events & EPOLLOUT) != 0);
-        }
-    }
+    while (!stopping_) turn(std::chrono::seconds(60));
 }
 
 }  // namespace basaltchute
--- a/src/runtime/loop.h
+++ b/src/runtime/loop.h
@@ -87,12 +87,12 @@
     [[nodiscard]] const Clock& clock() const { return clock_; }
 
     void run();
+    /// One round: timers, routines that are ready, then sockets, blocking at most `most`.
+    /// Returns false if there was nothing to do.
+    bool turn(Duration most);
     void stop() { stopping_ = true; }
     /// Starts a routine that nobody awaits; it is destroyed when it ends.
     void spawn(Task<void> task);
-    /// Runs what is ready without blocking: for tests on a fake clock.
-    void drain();
-
     void add(int fd, FdHandler& handler);
     void remove(int fd);
 
--- a/src/runtime/socket.cpp
+++ b/src/runtime/socket.cpp
@@ -114,6 +114,14 @@
     loop_.remove(fd_);
     close(fd_);
 }
+std::string Listener::address() const {
+    sockaddr_in addr{};
+    socklen_t len = sizeof addr;
+    getsockname(fd_, reinterpret_cast<sockaddr*>(&addr), &len);
+    std::array<char, INET_ADDRSTRLEN> text{};
+    inet_ntop(AF_INET, &addr.sin_addr, text.data(), text.size());
+    return std::string(text.data()) + ':' + std::to_string(ntohs(addr.sin_port));
+}
 void Listener::ready(bool readable, bool) {
     if (readable) acceptable_.notify();
 }
--- a/src/runtime/socket.h
+++ b/src/runtime/socket.h
@@ -44,6 +44,8 @@
     Listener(const Listener&) = delete;
     Listener& operator=(const Listener&) = delete;
     Task<std::unique_ptr<Socket>> accept(Scope& scope);
+    /// The address it really listens on, for a port that was given as 0.
+    [[nodiscard]] std::string address() const;
     void ready(bool readable, bool writable) override;
 
   private:
--- a/src/scheduler/cluster.cpp
+++ b/src/scheduler/cluster.cpp
@@ -127,7 +127,7 @@
                 std::find(t.zones.begin(), t.zones.end(), *spec.zone) != t.zones.end());
     });
     if (!fits) return Submitted::fitsNowhere;
-    const double n = spec.shape == Shape::service ? spec.tasks : 1;
+    const double n = spec.shape == Shape::array ? 1 : spec.tasks;
     if ((team->coresMax > 0 && spec.demand.cores * n > team->coresMax) ||
         (team->gpusMax > 0 && spec.demand.gpus * n > team->gpusMax))
         return Submitted::overLimit;
@@ -278,7 +278,7 @@
     const auto c = std::find_if(m.charges.begin(), m.charges.end(), [&](const Charge& x) {
         return x.job == job && x.task == t.task && x.attempt == t.attempt;
     });
-    if (t.cause == ExitCause::done && job->spec.shape == Shape::array) {
+    if (t.cause == ExitCause::done && job->spec.shape != Shape::service) {
         // A result is a result, whichever attempt brought it.
         finish(*job, t.task);
     }
@@ -404,6 +404,12 @@
     if (!m.charges.empty()) m.idleSince = now;
 }
 
+bool Cluster::allBound(const Job& job) const {
+    if (job.boundCount + job.doneCount < job.spec.tasks) return false;
+    return std::all_of(job.records.begin(), job.records.end(),
+                       [](const auto& r) { return r.durable >= r.version; });
+}
+
 bool Cluster::mustStop(const Charge& c) const {
     return c.ghost || !c.job->open() || c.job->tasks[c.task].state != TaskState::bound ||
            c.job->tasks[c.task].attempt != c.attempt || c.job->tasks[c.task].stopping;
@@ -444,6 +450,7 @@
         } else if (!c.seen && !c.recovered) {
             const auto& record = c.job->records[c.job->recordOf(c.task)];
             if (record.durable < c.version) continue;
+            if (spec.shape == Shape::gang && !allBound(*c.job)) continue;
             if (direct && (c.sent || c.directPending)) continue;
             out.push_back({Verb::launch, spec.id, c.task, c.attempt, {}});
             c.sent = true;
--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -78,14 +78,23 @@
     void seen(MachineIndex machine, const workers::ReportedTask& t, TimePoint now);
     void exited(MachineIndex machine, const workers::ReportedTask& t, TimePoint now);
     void failed(workers::Machine& m, MachineIndex index, Job& job, TimePoint now);
+    /// A gang starts once all of its bindings stand.
+    bool allBound(const Job& job) const;
     bool mustStop(const workers::Charge& c) const;
     std::vector<workers::Order> orders(MachineIndex machine, bool direct);
 
     // Placement
     [[nodiscard]] bool typeAllowed(const JobSpec& s, const std::string& type) const;
-    [[nodiscard]] bool allowed(const Job& job, const workers::Machine& m) const;
+    struct Share {
+        Demand demand;
+        std::uint32_t tasks = 0;
+    };
+    using Planned = std::unordered_map<MachineIndex, Share>;  // chosen in this pass, not bound yet
+    [[nodiscard]] bool allowed(const Job& job, const workers::Machine& m,
+                               const Planned& planned) const;
     [[nodiscard]] double startDelay(const JobSpec& s, const workers::Machine& m) const;
-    MachineIndex pick(const Job& job, TimePoint now) const;
+    MachineIndex pick(const Job& job, const Planned& planned, TimePoint now) const;
+    bool placeGang(Job& job, TimePoint now);
     void preemptFor(const Job& job, TimePoint now);
     [[nodiscard]] bool withinLimit(const Job& job) const;
 
--- /dev/null
+++ b/src/scheduler/cluster_test.cpp
@@ -0,0 +1,421 @@
+#include "scheduler/cluster.h"
+
+#include <gtest/gtest.h>
+
+#include "testing/world.h"
+
+namespace basaltchute::scheduler {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::Worker;
+using workers::ExitCause;
+using workers::Order;
+using workers::TaskStatus;
+using workers::Verb;
+
+/// A leader's state on a fake clock, with the state service played by `commit`.
+class ClusterTest : public ::testing::Test {
+  protected:
+    FakeClock clock;
+    settings::Settings settings = testing::someSettings();
+    std::unique_ptr<Cluster> cluster = make(5);
+    std::map<std::string, std::string> records;
+
+    std::unique_ptr<Cluster> make(Token token) {
+        auto c = std::make_unique<Cluster>(settings, token, clock.now());
+        c->setCatalogue(testing::someCatalogue());
+        return c;
+    }
+    void commit() {
+        for (Effects e = cluster->take(); !e.dirty.empty(); e = cluster->take())
+            for (const auto& d : e.dirty) {
+                const auto encoded = cluster->encode(d.first);
+                records[d.first] = encoded.data;
+                cluster->committed(d.first, encoded.version);
+            }
+    }
+    void takeOver() {
+        cluster = make(cluster->token() + 1);
+        for (const auto& [k, data] : records)
+            ASSERT_TRUE(cluster->load(k, data, clock.now(), clock.wall()));
+        cluster->loaded(clock.now());
+    }
+    std::vector<Order> beat(Worker& w) {
+        const auto orders = cluster->beat(w.next(), clock.now());
+        w.report.token = cluster->token();
+        return orders;
+    }
+    void exchange(Worker& w) { w.execute(beat(w)); }
+    Job& submit(const JobSpec& spec) {
+        EXPECT_EQ(cluster->submit(spec, clock.now(), clock.wall()), Submitted::fresh);
+        commit();
+        return *cluster->find(spec.id);
+    }
+    void place() {
+        cluster->place(clock.now());
+    }
+    /// Submits, places and launches on `w` so that every task runs there.
+    Job& running(Worker& w, const JobSpec& spec) {
+        exchange(w);
+        Job& job = submit(spec);
+        place();
+        commit();
+        exchange(w);
+        exchange(w);
+        EXPECT_EQ(job.runningCount, spec.tasks);
+        return job;
+    }
+};
+
+TEST_F(ClusterTest, LaunchesOnlyWhatStandsOnRecord) {
+    Worker w("n-1");
+    exchange(w);
+    submit(testing::spec("run-1"));
+    place();
+    EXPECT_TRUE(beat(w).empty()) << "the binding is not written yet";
+    commit();
+    const auto orders = beat(w);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders[0].verb, Verb::launch);
+    EXPECT_EQ(orders[0].attempt, 1U);
+}
+
+TEST_F(ClusterTest, RepeatsALaunchThatTheWorkerDroppedWithTheSameAttempt) {
+    Worker w("n-1");
+    exchange(w);
+    submit(testing::spec("run-1"));
+    place();
+    commit();
+    beat(w);  // the answer is lost
+    const auto again = beat(w);
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_EQ(again[0].attempt, 1U);
+}
+
+TEST_F(ClusterTest, DoesNotMoveATaskWhileItMayStillRun) {
+    Worker w("n-1"), other("n-2");
+    Job& job = running(w, testing::spec("run-1"));
+    const TimePoint last = clock.now();
+    while (clock.now() - last < settings.lease) {
+        clock.advance(1s);
+        exchange(other);
+        cluster->expire(clock.now());
+        place();
+        EXPECT_EQ(job.tasks[0].attempt, 1U);
+    }
+    clock.advance(1s);
+    exchange(other);
+    cluster->expire(clock.now());
+    place();
+    commit();
+    EXPECT_EQ(job.tasks[0].attempt, 2U);
+    const auto orders = beat(other);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders[0].attempt, 2U);
+}
+
+TEST_F(ClusterTest, ANewSessionProvesThatNothingRuns) {
+    Worker w("n-1");
+    Job& job = running(w, testing::spec("run-1"));
+    w.newSession();
+    beat(w);
+    EXPECT_EQ(job.tasks[0].state, TaskState::waiting);
+    EXPECT_EQ(job.runningCount, 0U);
+}
+
+TEST_F(ClusterTest, AReportHeldBackFromADeadSessionChangesNothing) {
+    Worker w("n-1"), other("n-2");
+    Job& job = running(w, testing::spec("run-1"));
+    clock.advance(20s);
+    exchange(other);
+    cluster->expire(clock.now());
+    place();
+    commit();
+    EXPECT_EQ(cluster->machines()[job.tasks[0].machine].name, "n-2");
+    EXPECT_TRUE(beat(w).empty());  // sent before the cut, delivered after the lease
+    EXPECT_EQ(cluster->machines()[job.tasks[0].machine].name, "n-2");
+}
+
+TEST_F(ClusterTest, ForgetsAResultOnlyOnceItStands) {
+    Worker w("n-1");
+    Job& job = running(w, testing::spec("run-1"));
+    w.set(0, TaskStatus::exited, ExitCause::done);
+    EXPECT_TRUE(beat(w).empty());
+    EXPECT_TRUE(job.allDone());
+    EXPECT_FALSE(job.doneDurable()) << "nobody may be told yet";
+    commit();
+    EXPECT_TRUE(job.doneDurable());
+    const auto orders = beat(w);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders[0].verb, Verb::forget);
+}
+
+TEST_F(ClusterTest, AnUnansweredDirectLaunchStaysChargedAndIsNeverForgotten) {
+    Worker w("n-1");
+    exchange(w);
+    Job& job = submit(testing::spec("run-1"));
+    place();
+    commit();
+    const auto m = *cluster->machines().find("n-1");
+    ASSERT_EQ(cluster->directOrders(m, clock.now()).size(), 1U);
+    cluster->directEnded(m, true, false);  // sent, no answer: it may arrive minutes later
+    cluster->cancel(job);
+    commit();
+    // Made known and ended in one go, so that the late launch is a repetition.
+    auto orders = beat(w);
+    ASSERT_EQ(orders.size(), 2U);
+    EXPECT_EQ(orders[0].verb, Verb::launch);
+    EXPECT_EQ(orders[1].verb, Verb::stop);
+    EXPECT_EQ(cluster->machines()[m].charges.size(), 1U);
+    w.execute(orders);
+    for (int i = 0; i < 3; ++i) EXPECT_TRUE(beat(w).empty()) << "forgotten, it could start again";
+    EXPECT_TRUE(cluster->machines()[m].charges.empty());
+}
+
+TEST_F(ClusterTest, ADirectReportDoesNotDisproveALaunchInsideABeatsAnswer) {
+    Worker w("n-1");
+    exchange(w);
+    Job& job = submit(testing::spec("run-1"));
+    place();
+    commit();
+    beat(w);  // the launch is on its way in this answer
+    cluster->cancel(job);
+    commit();
+    const auto m = *cluster->machines().find("n-1");
+    cluster->report(w.next(), Cluster::Source::direct, clock.now());
+    EXPECT_EQ(cluster->machines()[m].charges.size(), 1U);
+    beat(w);  // a beat is sent only after the earlier answer was executed or dropped
+    EXPECT_TRUE(cluster->machines()[m].charges.empty());
+}
+
+TEST_F(ClusterTest, ACancelStopsWhatRunsAndTheStatusNeverGoesBack) {
+    Worker w("n-1");
+    Job& job = running(w, testing::spec("run-1"));
+    cluster->cancel(job);
+    EXPECT_FALSE(job.cancelDurable());
+    commit();
+    EXPECT_TRUE(job.cancelDurable());
+    w.set(0, TaskStatus::exited, ExitCause::done);  // it finished before the stop came
+    beat(w);
+    EXPECT_TRUE(job.cancelDurable());
+    takeOver();
+    EXPECT_TRUE(cluster->find("run-1")->cancelDurable());
+}
+
+TEST_F(ClusterTest, TakeOverWithASilentMachineWaitsOutItsLeaseOnly) {
+    Worker a("n-1"), b("n-2");
+    exchange(a);
+    exchange(b);
+    submit(testing::spec("run-1", 4));
+    place();
+    commit();
+    for (int i = 0; i < 2; ++i) {
+        exchange(a);
+        exchange(b);
+    }
+    commit();
+    ASSERT_EQ(a.report.tasks.size(), 2U);
+    takeOver();
+    Job& job = *cluster->find("run-1");
+    exchange(a);  // n-2 stays silent
+    EXPECT_EQ(job.runningCount, 2U) << "what reports is adopted at once";
+    submit(testing::spec("run-2"));
+    a.set(0, TaskStatus::exited, ExitCause::done);
+    beat(a);
+    place();
+    EXPECT_EQ(cluster->find("run-2")->boundCount, 1U) << "placed before n-2 is heard of";
+    EXPECT_EQ(job.boundCount, 3U);
+    clock.advance(settings.lease + 1s);
+    cluster->expire(clock.now());
+    EXPECT_EQ(job.boundCount, 0U);
+}
+
+TEST_F(ClusterTest, AfterTakeOverAnUnlistedBindingIsFreeOnceTheWorkerKnowsTheToken) {
+    Worker w("n-1");
+    exchange(w);
+    submit(testing::spec("run-1"));
+    place();
+    commit();  // bound on record, launched by nobody
+    takeOver();
+    Job& job = *cluster->find("run-1");
+    EXPECT_TRUE(beat(w).empty());
+    EXPECT_EQ(job.boundCount, 1U) << "an order of the former leader may still arrive";
+    beat(w);
+    EXPECT_EQ(job.boundCount, 0U);
+    place();
+    EXPECT_EQ(job.tasks[0].attempt, 2U) << "an attempt is never used twice";
+}
+
+TEST_F(ClusterTest, ATaskThatRunsWithoutABindingIsKeptWhereItIs) {
+    Worker w("n-1");
+    submit(testing::spec("run-1"));
+    w.report.tasks.push_back({"run-1", 0, 3, TaskStatus::running, ExitCause::other, false});
+    EXPECT_TRUE(beat(w).empty());
+    const Job& job = *cluster->find("run-1");
+    EXPECT_EQ(job.tasks[0].attempt, 3U);
+    EXPECT_EQ(job.runningCount, 1U);
+}
+
+TEST_F(ClusterTest, WhatNobodySubmittedIsStopped) {
+    Worker w("n-1");
+    w.report.tasks.push_back({"run-9", 0, 1, TaskStatus::running, ExitCause::other, false});
+    const auto orders = beat(w);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders[0].verb, Verb::stop);
+}
+
+TEST_F(ClusterTest, LimitsCountWhatPossiblyRuns) {
+    Worker w("n-1"), v("n-2"), x("n-3");
+    JobSpec s = testing::spec("run-1", 4);
+    s.team = "blue";  // at most 16 cores
+    exchange(w);
+    exchange(v);
+    submit(s);
+    place();
+    commit();
+    exchange(w);
+    exchange(v);
+    clock.advance(8s);  // both silent, neither lease has run out
+    exchange(x);
+    s.id = "run-2";
+    Job& second = submit(s);
+    place();
+    EXPECT_EQ(second.boundCount, 0U);
+}
+
+TEST_F(ClusterTest, SpreadCountsWhatPossiblyRuns) {
+    Worker w("n-1", "a"), v("n-2", "a");
+    JobSpec s = testing::spec("run-1", 3);
+    s.spread = true;
+    exchange(w);
+    exchange(v);
+    Job& job = submit(s);
+    place();
+    EXPECT_EQ(job.boundCount, 2U) << "two of three, rounded up, in one zone";
+    Worker b("n-3", "b");
+    exchange(b);
+    place();
+    EXPECT_EQ(job.boundCount, 3U);
+}
+
+TEST_F(ClusterTest, KeepsToZoneTypeAndKindOfMachine) {
+    Worker spot("n-1", "a", true), zoneA("n-2", "a");
+    exchange(spot);
+    exchange(zoneA);
+    JobSpec s = testing::spec("run-1");
+    s.spotAllowed = false;
+    s.zone = "b";
+    Job& job = submit(s);
+    place();
+    EXPECT_EQ(job.boundCount, 0U);
+    Worker zoneB("n-3", "b");
+    exchange(zoneB);
+    place();
+    EXPECT_EQ(cluster->machines()[job.tasks[0].machine].name, "n-3");
+}
+
+TEST_F(ClusterTest, AGangStartsTogetherOrNotAtAll) {
+    Worker w("n-1");
+    exchange(w);
+    JobSpec s = testing::spec("run-1", 3);
+    s.shape = Shape::gang;
+    Job& job = submit(s);
+    place();
+    EXPECT_EQ(job.boundCount, 0U);
+    Worker v("n-2");
+    exchange(v);
+    place();
+    EXPECT_EQ(job.boundCount, 3U);
+    commit();
+    EXPECT_EQ(beat(w).size() + beat(v).size(), 3U);
+}
+
+TEST_F(ClusterTest, ProductionPreemptsLowerWorkWithTimeToSaveAndNothingElse) {
+    Worker w("n-1");
+    JobSpec low = testing::spec("run-1", 2);
+    low.checkpointS = 10;
+    low.saveS = 5;
+    Job& victim = running(w, low);
+    JobSpec same = testing::spec("run-2");
+    submit(same);
+    place();
+    EXPECT_TRUE(beat(w).empty()) << "equal priority is not preempted";
+    JobSpec high = testing::spec("run-3");
+    high.priority = Priority::production;
+    submit(high);
+    place();
+    const auto orders = beat(w);
+    ASSERT_EQ(orders.size(), 1U) << "one task is enough room";
+    EXPECT_EQ(orders[0].verb, Verb::stop);
+    EXPECT_GE(orders[0].grace, 5s);
+    w.execute(orders);
+    beat(w);
+    place();
+    EXPECT_EQ(cluster->find("run-3")->boundCount, 1U);
+    EXPECT_EQ(victim.boundCount, 1U);
+}
+
+TEST_F(ClusterTest, AMachineThatFailsSeveralJobsGetsNoMoreWork) {
+    Worker w("n-1");
+    exchange(w);
+    submit(testing::spec("run-1"));
+    submit(testing::spec("run-2"));
+    place();
+    commit();
+    exchange(w);
+    w.set(0, TaskStatus::exited, ExitCause::error);
+    w.set(1, TaskStatus::exited, ExitCause::error);
+    exchange(w);
+    EXPECT_TRUE(cluster->machines()[0].sick);
+    clock.advance(2min);
+    exchange(w);
+    place();
+    EXPECT_EQ(cluster->find("run-1")->boundCount, 0U);
+}
+
+TEST_F(ClusterTest, AJobThatFailsEverywhereBacksOffAndCondemnsNoMachine) {
+    std::vector<Worker> all{Worker("n-1"), Worker("n-2"), Worker("n-3")};
+    for (auto& w : all) exchange(w);
+    Job& job = submit(testing::spec("run-1"));
+    for (int round = 0; round < 6; ++round) {
+        clock.advance(11s);
+        for (auto& w : all) exchange(w);
+        place();
+        commit();
+        for (auto& w : all) {
+            exchange(w);
+            for (std::size_t t = 0; t < w.report.tasks.size(); ++t)
+                w.set(t, TaskStatus::exited, ExitCause::error);
+            exchange(w);
+            commit();
+            exchange(w);
+        }
+    }
+    EXPECT_GE(job.failures, 3U);
+    EXPECT_GT(job.notBefore, clock.now() - 60s);
+    for (const auto& m : cluster->machines()) EXPECT_FALSE(m.sick);
+}
+
+TEST_F(ClusterTest, LargeArraysSpillIntoFurtherRecordsAndComeBack) {
+    Worker w("n-1");
+    exchange(w);
+    JobSpec s = testing::spec("run-1", 2000);
+    s.demand = {0.01, 0, 0.01};
+    submit(s);
+    place();
+    commit();
+    for (int i = 0; i < 12; ++i) exchange(w);
+    for (std::size_t t = 0; t < 700; ++t) w.set(t, TaskStatus::exited, ExitCause::done);
+    beat(w);
+    commit();
+    EXPECT_GT(records.size(), 1U);
+    for (const auto& [key, data] : records) EXPECT_LE(data.size(), settings.valueBytes) << key;
+    const auto before = cluster->find("run-1")->doneCount;
+    EXPECT_EQ(before, 700U);
+    takeOver();
+    EXPECT_EQ(cluster->find("run-1")->doneCount, before);
+}
+
+}  // namespace
+}  // namespace basaltchute::scheduler
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -21,6 +21,12 @@
            need.ramGb <= have.ramGb + epsilon;
 }
 
+void subtract(Demand& from, const Demand& d) {
+    from.cores -= d.cores;
+    from.gpus -= d.gpus;
+    from.ramGb -= d.ramGb;
+}
+
 /// When the job should be served, for the order among jobs of one priority.
 TimePoint due(const Job& job) {
     if (job.spec.deadlineS) return job.submittedAt + fromSeconds(*job.spec.deadlineS - job.spec.estimateS);
@@ -33,15 +39,11 @@
     const auto type = catalogue_.find(m.type);
     if (type == catalogue_.end()) return {};
     Demand free = type->second.capacity;
-    for (const auto& c : m.charges) {
-        free.cores -= c.job->spec.demand.cores;
-        free.gpus -= c.job->spec.demand.gpus;
-        free.ramGb -= c.job->spec.demand.ramGb;
-    }
+    for (const auto& c : m.charges) subtract(free, c.job->spec.demand);
     return free;
 }
 
-bool Cluster::allowed(const Job& job, const Machine& m) const {
+bool Cluster::allowed(const Job& job, const Machine& m, const Planned& planned) const {
     const JobSpec& s = job.spec;
     if (m.spot && !s.spotAllowed) return false;
     if (!typeAllowed(s, m.type)) return false;
@@ -56,6 +58,10 @@
             else if (s.oneZone) return false;
         }
     }
+    for (const auto& [index, share] : planned) {
+        if (machines_[index].zone == m.zone) here += share.tasks;
+        else if (s.oneZone && share.tasks > 0) return false;
+    }
     return !s.spread || here < (s.tasks + 1) / 2;
 }
 
@@ -80,7 +86,7 @@
     return fetch;
 }
 
-MachineIndex Cluster::pick(const Job& job, TimePoint now) const {
+MachineIndex Cluster::pick(const Job& job, const Planned& planned, TimePoint now) const {
     MachineIndex best = noMachine;
     double bestCost = std::numeric_limits<double>::infinity();
     for (MachineIndex i = 0; i < machines_.size(); ++i) {
@@ -88,9 +94,10 @@
         if (!fresh(m, now) || m.sick || m.draining || m.recalledAt || now < m.avoidUntil) continue;
         const auto failed = job.failedOn.find(i);
         if (failed != job.failedOn.end() && now - failed->second < 60s) continue;
-        const Demand free = freeOn(m);
+        Demand free = freeOn(m);
+        if (const auto p = planned.find(i); p != planned.end()) subtract(free, p->second.demand);
         if (!fits(job.spec.demand, free)) continue;
-        if (!allowed(job, m)) continue;
+        if (!allowed(job, m, planned)) continue;
         const Demand& whole = catalogue_.at(m.type).capacity;
         // Seconds until it runs, then: leave ordinary machines to work that needs them, and
         // fill the fullest machine that has room so that whole ones stay whole.
@@ -112,7 +119,7 @@
     double bestLoss = std::numeric_limits<double>::infinity();
     for (MachineIndex i = 0; i < machines_.size(); ++i) {
         const Machine& m = machines_[i];
-        if (!fresh(m, now) || m.sick || m.draining || m.recalledAt || !allowed(job, m)) continue;
+        if (!fresh(m, now) || m.sick || m.draining || m.recalledAt || !allowed(job, m, {})) continue;
         Demand room = freeOn(m);
         const auto take = [&](const Charge& c) {
             room.cores += c.job->spec.demand.cores;
@@ -154,6 +161,23 @@
     effects_.push.insert(best);
 }
 
+bool Cluster::placeGang(Job& job, TimePoint now) {
+    // All or nothing: half a gang would hold machines and do no work.
+    Planned planned;
+    std::vector<std::pair<std::uint32_t, MachineIndex>> chosen;
+    for (std::uint32_t t = 0; t < job.spec.tasks; ++t) {
+        if (job.tasks[t].state != TaskState::waiting) continue;
+        const MachineIndex m = pick(job, planned, now);
+        if (m == noMachine) return false;
+        Share& share = planned[m];
+        subtract(share.demand, {-job.spec.demand.cores, -job.spec.demand.gpus, -job.spec.demand.ramGb});
+        ++share.tasks;
+        chosen.emplace_back(t, m);
+    }
+    for (const auto& [task, machine] : chosen) bind(job, task, machine, now);
+    return true;
+}
+
 void Cluster::place(TimePoint now) {
     struct Entry {
         Job* job;
@@ -186,7 +210,12 @@
                 live.erase(least);
                 continue;
             }
-            const MachineIndex m = pick(job, now);
+            if (job.spec.shape == Shape::gang) {
+                if (!placeGang(job, now) && job.spec.priority != Priority::low) preemptFor(job, now);
+                live.erase(least);
+                continue;
+            }
+            const MachineIndex m = pick(job, {}, now);
             if (m == noMachine) {
                 if (job.spec.priority != Priority::low) preemptFor(job, now);
                 live.erase(least);
--- /dev/null
+++ b/src/testing/world.h
@@ -0,0 +1,100 @@
+#pragma once
+// Stand-ins for the outside world, for tests only: a clock that tests turn, a state service and
+// a cloud by their published protocols, and the values that tests feed to the pure parts.
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+#include "http/client.h"
+#include "http/server.h"
+#include "jobs/codec.h"
+#include "json/json.h"
+#include "runtime/loop.h"
+#include "scheduler/cluster.h"
+#include "settings/settings.h"
+#include "workers/report.h"
+
+namespace basaltchute::testing {
+
+/// A loop on a fake clock. `until` runs rounds; the clock moves only when nothing is left to do.
+class World {
+  public:
+    FakeClock clock;
+    Loop loop{clock};
+    Scope scope{loop};
+    bool until(const std::function<bool()>& done, Duration most = std::chrono::seconds(30));
+    void run(Duration span);
+};
+
+class StateService {
+  public:
+    explicit StateService(World& world);
+    [[nodiscard]] std::string address() const { return server_.address(); }
+    struct Entry {
+        std::string data;
+        std::uint64_t stamp = 0, grant = 0;
+    };
+    std::map<std::string, Entry> keys;
+    bool down = false;
+    int writes = 0;
+    /// Ends the grant that holds a key, as if its time had run out.
+    void endGrantOf(const std::string& key);
+
+  private:
+    Task<http::Response> handle(http::Request request);
+    http::Response multi(const std::string& body);
+    Task<http::Response> watch(std::string target);
+    void expire();
+    void erase(const std::string& key);
+    World& world_;
+    http::Server server_;
+    Event changed_;
+    std::uint64_t epoch_ = 1, nextGrant_ = 1, erasedAt_ = 0;
+    struct Grant {
+        Duration life{};
+        TimePoint end{};
+    };
+    std::map<std::uint64_t, Grant> grants_;
+    http::Response forgetGrant(std::uint64_t id);
+};
+
+class CloudService {
+  public:
+    explicit CloudService(World& world);
+    [[nodiscard]] std::string address() const { return server_.address(); }
+    std::set<std::string> deleted;
+    std::vector<std::string> rented;
+
+  private:
+    World& world_;
+    http::Server server_;
+};
+
+settings::Settings someSettings();
+fleet::Catalogue someCatalogue();
+std::string submission(const std::string& id, const std::string& extra = "");
+JobSpec spec(const std::string& id, std::uint32_t tasks = 1);
+
+/// A worker's side of the protocol, moved by hand.
+struct Worker {
+    workers::Report report;
+    explicit Worker(const std::string& name, const std::string& zone = "a", bool spot = false);
+    /// The next report, with the tasks it now has.
+    const workers::Report& next() {
+        ++report.sequence;
+        return report;
+    }
+    void newSession() {
+        ++report.session;
+        report.tasks.clear();
+    }
+    void execute(const std::vector<workers::Order>& orders);
+    void set(std::size_t task, workers::TaskStatus status,
+             workers::ExitCause cause = workers::ExitCause::other) {
+        report.tasks[task].status = status;
+        report.tasks[task].cause = cause;
+    }
+};
+
+}  // namespace basaltchute::testing
