Keep machines on take-over, relay beats, size the fleet by class

Cause: after a take-over every listed machine not heard of yet counted as a boot that never ended and was deleted with its tasks. Now only those listed as starting, and only once they would have reported. Beats reach the leader through any controller. Idle room is kept where an objective wants an array to start soon.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 const std::string jobsPath = "/v1/jobs";
+const std::string beatPath = "/agent/beat";
+constexpr Duration relayPatience = 3s;  // a worker drops what comes after 4 s
 
 http::Response plain(int status, const char* body) {
     return {status, body};
@@ -94,9 +96,10 @@
         if (r.method != "GET") co_return plain(405, "{}");
         co_return up();
     }
-    if (r.target == "/agent/beat") {
+    if (r.target == beatPath) {
         if (r.method != "POST") co_return plain(405, "{}");
-        co_return beat(r.body);
+        auto answer = co_await beat(std::move(r));
+        co_return answer;
     }
     if (r.target == "/status") {
         if (r.method != "GET") co_return plain(405, "{}");
@@ -137,6 +140,15 @@
 Task<http::Response> Controller::lead(http::Request r) {
     const auto reign = reign_;  // held: it may be deposed while the request waits
     if (!reign || !reign->ready()) co_return noLeader();
+    if (r.target == beatPath) {
+        const auto report = workers::parseReport(r.body);
+        if (!report) co_return plain(400, "{}");
+        if (report->token > leadership_.token()) {
+            leadership_.stepDown("a worker has seen a higher token");
+            co_return noLeader();
+        }
+        co_return reign->beat(*report);
+    }
     const UserCall call = parseCall(r);
     http::Response response = noLeader();
     switch (call.verb) {
@@ -149,17 +161,24 @@
     co_return response;
 }
 
-http::Response Controller::beat(const std::string& body) {
-    const auto report = workers::parseReport(body);
-    if (!report) return plain(400, R"({"error":"malformed report"})");
+Task<http::Response> Controller::beat(http::Request r) {
+    const auto report = workers::parseReport(r.body);
+    if (!report) co_return plain(400, R"({"error":"malformed report"})");
     if (reign_ && report->token > leadership_.token())
         leadership_.stepDown("a worker has seen a higher token");
-    if (reign_ && leadership_.mayAct()) return reign_->beat(*report);
+    if (reign_ && leadership_.mayAct()) co_return reign_->beat(*report);
     const auto known = leadership_.known();
-    if (!known || known->node == settings_.node) return noLeader();
+    if (!known || known->node == settings_.node) co_return noLeader();
+    if (mesh_.connected(known->node)) {
+        // Passed on instead of sent away: the worker may not be able to reach the leader.
+        auto o = co_await mesh_.forward(known->node, std::move(r), relayPatience, scope_);
+        if (!o.answered) co_return noLeader();
+        o.response.keepAlive = true;
+        co_return std::move(o.response);
+    }
     json::Out o;
     o.open().field("steward", known->node).close();
-    return {421, o.text()};
+    co_return http::Response{421, o.text()};
 }
 
 http::Response Controller::up() {
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -18,7 +18,7 @@
     Task<http::Response> handle(http::Request request);
     Task<http::Response> users(http::Request request);
     Task<http::Response> lead(http::Request request);
-    http::Response beat(const std::string& body);
+    Task<http::Response> beat(http::Request request);
     http::Response up();
     http::Response status();
 
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -41,7 +41,7 @@
                [this] { written_.notify(); },
                [this] { leadership_.stepDown("another leader's key is in place"); }}),
       cloud_(loop, settings),
-      fleet_(cluster_) {}
+      fleet_(cluster_, loop.now()) {}
 
 void Reign::start() {
     scope_.spawn(load());
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -24,30 +24,51 @@
     std::vector<std::string> remove;
 };
 
+/// Cores that the fleet should have, by the kind of machine that may serve them.
+struct Target {
+    double ordinary = 0;  // for work that must not run on spot machines
+    double spot = 0;      // for work that may
+};
+
 /// Decides which machines to rent and to return. Pure: the cloud's answers come in as values.
 class Fleet {
   public:
-    explicit Fleet(scheduler::Cluster& cluster) : cluster_(cluster) {}
+    explicit Fleet(scheduler::Cluster& cluster, TimePoint now) : cluster_(cluster), since_(now) {}
     void listed(const std::vector<Listed>& all, TimePoint now);
     Plan plan(TimePoint now);
     void rented(const Rent& rent, const std::vector<std::string>& names, TimePoint now);
     /// `settled`: the cloud refused, so nothing was or will be rented under this booking.
     void rentFailed(const Rent& rent, bool settled, TimePoint now);
     void removed(const std::vector<std::string>& names, TimePoint now);
+    [[nodiscard]] const Target& target() const { return target_; }
 
   private:
     using Pool = std::tuple<std::string, std::string, bool>;  // type, zone, spot
     struct Coming {
         Pool pool;
         TimePoint since;
+        bool starting = true;
+    };
+    struct ClassDemand {
+        bool warm = false;  // an objective wants it to start soon, so idle room is worth its price
+        bool spotAllowed = false;
+        double now = 0, smooth = 0, peak = 0, largestJob = 0;
     };
-    void wanted(TimePoint now, Plan& plan);
+    void measure(TimePoint now);
+    void replaceStuck(TimePoint now);
+    void shrink(TimePoint now);
+    void grow(TimePoint now, Plan& plan);
+    void rentFor(double lack, bool spot, TimePoint now, Plan& plan);
 
     scheduler::Cluster& cluster_;
+    TimePoint since_;
+    TimePoint measuredAt_{};
+    std::map<std::string, ClassDemand> classes_;
+    Target target_;
     std::map<std::string, Coming> coming_;  // rented, not up yet
     std::map<Pool, TimePoint> refusedUntil_;
     std::map<Pool, Rent> unsettled_;  // answers lost: asked again under the same name
-    std::set<std::string> dead_;      // to be deleted: failed, stuck, or given up
+    std::set<std::string> dead_;      // to be deleted
     std::uint64_t bookings_ = 0;
     bool everListed_ = false;
 };
