Return surplus machines by draining them, and queue deadline work for spot ones

Surplus machines now get no more work, replicas move to machines that have their image, and only types that fit a class's tasks are rented.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -69,6 +69,7 @@
     for (const Job* job : cluster_.openJobs()) {
         ClassDemand& c = classes_[job->spec.jobClass];
         c.spotAllowed = job->spec.spotAllowed;
+        c.each = job->spec.demand;
         const double each = job->spec.demand.cores;
         c.now += each * (job->spec.tasks - job->doneCount);
         c.largestJob = std::max(c.largestJob, each * job->spec.tasks);
@@ -77,6 +78,7 @@
         measuredAt_ == TimePoint{} ? 1 : 1 - std::exp(-toSeconds(now - measuredAt_) / toSeconds(smoothing));
     measuredAt_ = now;
     target_ = {};
+    warm_ = false;
     for (auto& [name, c] : classes_) {
         c.warm = std::any_of(cluster_.settings().objectives.begin(),
                              cluster_.settings().objectives.end(), [&](const auto& o) {
@@ -84,6 +86,7 @@
                              });
         c.smooth += (c.now - c.smooth) * weight;
         c.peak = std::max(c.peak, c.now);
+        warm_ = warm_ || (c.warm && c.spotAllowed);
         double want = std::max(c.smooth, std::min(c.now, c.smooth * 2));
         if (c.warm && c.spotAllowed) want = cluster_.openJobs().empty() ? 0 : c.peak * warmMargin + c.largestJob;
         // Services: what runs, and room for a few more at once.
@@ -92,42 +95,104 @@
     }
 }
 
-void Fleet::shrink(TimePoint now) {
-    double ordinary = 0, spot = 0;
-    const auto cores = [&](const Machine& m) {
-        const auto t = cluster_.catalogue().find(m.type);
-        return t == cluster_.catalogue().end() ? 0.0 : t->second.capacity.cores;
+double Fleet::coresOf(const std::string& type) const {
+    const auto t = cluster_.catalogue().find(type);
+    return t == cluster_.catalogue().end() ? 0.0 : t->second.capacity.cores;
+}
+
+double Fleet::pricePerCore(const MachineType& t, bool spot) const {
+    return (spot ? t.spotPrice : t.price) / std::max(t.capacity.cores, 1.0);
+}
+
+Fleet::Have Fleet::have(bool withComing) const {
+    Have out;
+    const auto count = [&](const std::string& type, bool spot) {
+        // A machine too small for any task that may run on it serves nobody.
+        if (spot && !servesSpot(type)) return;
+        (spot ? out.spot : out.ordinary) += coresOf(type);
     };
     for (const auto& m : cluster_.machines())
-        if (m.up() && !m.sick && !m.recalledAt) (m.spot ? spot : ordinary) += cores(m);
-    // Work that may use spot machines also uses what ordinary ones have left.
-    const double spotTarget = target_.spot;
-    std::vector<MachineIndex> idle;
+        if (m.up() && !m.sick && !m.recalledAt && !m.draining) count(m.type, m.spot);
+    if (withComing)
+        for (const auto& [name, c] : coming_) count(std::get<0>(c.pool), std::get<2>(c.pool));
+    return out;
+}
+
+bool Fleet::servesSpot(const std::string& type) const {
+    const auto t = cluster_.catalogue().find(type);
+    if (t == cluster_.catalogue().end()) return false;
+    return std::any_of(classes_.begin(), classes_.end(), [&](const auto& entry) {
+        const ClassDemand& c = entry.second;
+        return c.spotAllowed && c.each.cores <= t->second.capacity.cores &&
+               c.each.ramGb <= t->second.capacity.ramGb && c.each.gpus <= t->second.capacity.gpus;
+    });
+}
+
+double Fleet::ordinaryForSpot(const Have& have) const {
+    // What only has a deadline can wait for a spot machine about as long as it runs.
+    return std::max(0.0, target_.spot - have.spot * (warm_ ? 1 : 2));
+}
+
+void Fleet::shrink(TimePoint now) {
+    Have have = this->have(false);
+    const auto surplus = [&](const Machine& m) {
+        const double c = coresOf(m.type);
+        if (m.spot && !servesSpot(m.type)) return true;
+        if (m.spot) return have.spot - c >= target_.spot;
+        // Work that may use spot machines uses ordinary ones where it finds no others.
+        return have.ordinary - c >= target_.ordinary + ordinaryForSpot(have);
+    };
+    std::vector<MachineIndex> candidates;
     for (MachineIndex i = 0; i < cluster_.machines().size(); ++i) {
         const Machine& m = cluster_.machines()[i];
-        if (cluster_.fresh(m, now) && m.charges.empty() && now - m.idleSince > spareHold)
-            idle.push_back(i);
+        if (cluster_.fresh(m, now) && !m.sick && !m.draining && now - m.upSince > spareHold)
+            candidates.push_back(i);
     }
-    // The dearest per core first.
-    std::sort(idle.begin(), idle.end(), [&](MachineIndex a, MachineIndex b) {
-        const auto per = [&](MachineIndex i) {
+    // Those with least on them first, and of those the dearest.
+    const auto used = [&](MachineIndex i) {
+        double cores = 0;
+        for (const auto& c : cluster_.machines()[i].charges) cores += c.job->spec.demand.cores;
+        return cores;
+    };
+    std::sort(candidates.begin(), candidates.end(), [&](MachineIndex a, MachineIndex b) {
+        const auto key = [&](MachineIndex i) {
             const Machine& m = cluster_.machines()[i];
-            const auto& t = cluster_.catalogue().at(m.type);
-            return (m.spot ? t.spotPrice : t.price) / std::max(t.capacity.cores, 1.0);
+            return std::make_pair(used(i), -pricePerCore(cluster_.catalogue().at(m.type), m.spot));
         };
-        return per(a) > per(b);
+        return key(a) < key(b);
     });
-    for (const MachineIndex i : idle) {
+    for (const MachineIndex i : candidates) {
         Machine& m = cluster_.machines()[i];
-        const double c = cores(m);
-        const double spare = ordinary - target_.ordinary;
-        const bool surplus = m.spot ? spot + std::max(0.0, spare) - c >= spotTarget
-                                    : spare - c >= std::max(0.0, spotTarget - spot);
-        if (!surplus) continue;
-        spdlog::info("machine {} is idle beyond the target: returning it", m.name);
+        if (!surplus(m)) {
+            surplusSince_.erase(i);
+            continue;
+        }
+        const auto since = surplusSince_.try_emplace(i, now).first->second;
+        if (now - since < spareHold) continue;
+        spdlog::info("machine {} is beyond the target: no more work for it", m.name);
         m.draining = true;
-        dead_.insert(m.name);
-        (m.spot ? spot : ordinary) -= c;
+        (m.spot ? have.spot : have.ordinary) -= coresOf(m.type);
+    }
+}
+
+void Fleet::emptyDraining(TimePoint now) {
+    const Have have = this->have(true);
+    for (MachineIndex i = 0; i < cluster_.machines().size(); ++i) {
+        Machine& m = cluster_.machines()[i];
+        if (!m.draining || !m.up()) continue;
+        if (m.charges.empty()) {
+            dead_.insert(m.name);
+            continue;
+        }
+        // Wanted again before it was empty: nothing is cheaper than a machine that is up.
+        const bool wanted = m.spot ? have.spot < target_.spot && servesSpot(m.type)
+                                   : have.ordinary < target_.ordinary;
+        if (wanted && !dead_.contains(m.name)) {
+            m.draining = false;
+            surplusSince_.erase(i);
+            return;
+        }
+        cluster_.moveReplicas(i, now);
     }
 }
 
@@ -140,6 +205,7 @@
     measure(now);
     if (everListed_ && settled) {
         shrink(now);
+        emptyDraining(now);
         grow(now, plan);
     }
     plan.remove.assign(dead_.begin(), dead_.end());
@@ -149,47 +215,39 @@
 
 void Fleet::grow(TimePoint now, Plan& plan) {
     for (const auto& [pool, rent] : unsettled_) plan.rent.push_back(rent);
-    double ordinary = 0, spot = 0;
-    const auto count = [&](const std::string& type, bool isSpot) {
-        const auto t = cluster_.catalogue().find(type);
-        if (t != cluster_.catalogue().end()) (isSpot ? spot : ordinary) += t->second.capacity.cores;
-    };
-    for (const auto& m : cluster_.machines())
-        if (m.up() && !m.sick && !m.draining && !m.recalledAt) count(m.type, m.spot);
-    for (const auto& [name, c] : coming_) count(std::get<0>(c.pool), std::get<2>(c.pool));
     if (coming_.size() >= maxComing) return;
-    const double spare = std::max(0.0, ordinary - target_.ordinary);
-    rentFor(target_.ordinary - ordinary, false, now, plan);
-    rentFor(target_.spot - spot - spare, true, now, plan);
+    const Have have = this->have(true);
+    const double spare = std::max(0.0, have.ordinary - target_.ordinary);
+    rentFor(target_.ordinary - have.ordinary, false, now, plan);
+    // Where starts matter more than the price, ordinary machines that are there count; where
+    // they do not, spot machines replace them and the ordinary ones go back.
+    const double lack = target_.spot - have.spot - (warm_ ? spare : 0);
+    const double left = rentFor(lack, true, now, plan);
+    if (warm_) rentFor(left, false, now, plan);
+    else if (left > 0) rentFor(ordinaryForSpot(have) - spare, false, now, plan);
 }
 
-void Fleet::rentFor(double lack, bool spot, TimePoint now, Plan& plan) {
+double Fleet::rentFor(double lack, bool spot, TimePoint now, Plan& plan) {
     std::vector<const MachineType*> byPrice;
-    for (const auto& [name, t] : cluster_.catalogue()) byPrice.push_back(&t);
-    const auto sortFor = [&](bool asSpot) {
-        std::sort(byPrice.begin(), byPrice.end(), [&](const auto* a, const auto* b) {
-            const auto per = [&](const MachineType& t) {
-                return (asSpot ? t.spotPrice : t.price) / std::max(t.capacity.cores, 1.0);
-            };
-            return per(*a) < per(*b);
-        });
-    };
-    // Work that may use spot machines takes ordinary ones where no spot machine is to be had.
-    for (const bool asSpot : spot ? std::vector<bool>{true, false} : std::vector<bool>{false}) {
-        sortFor(asSpot);
-        for (const auto* t : byPrice) {
-            for (const auto& zone : t->zones) {
-                const Pool pool{t->name, zone, asSpot};
-                if (lack <= 0 || unsettled_.contains(pool) || refusedUntil_[pool] > now) continue;
-                const auto n = static_cast<unsigned>(
-                    std::clamp(std::ceil(lack / std::max(t->capacity.cores, 1.0)), 1.0, 4.0));
-                plan.rent.push_back({"b-" + std::to_string(cluster_.token()) + '-' +
-                                         std::to_string(++bookings_),
-                                     t->name, zone, asSpot, n});
-                lack -= n * t->capacity.cores;
-            }
+    for (const auto& [name, t] : cluster_.catalogue())
+        if (!spot || servesSpot(name)) byPrice.push_back(&t);
+    std::sort(byPrice.begin(), byPrice.end(), [&](const auto* a, const auto* b) {
+        return pricePerCore(*a, spot) < pricePerCore(*b, spot);
+    });
+    for (const auto* t : byPrice) {
+        for (const auto& zone : t->zones) {
+            const Pool pool{t->name, zone, spot};
+            if (lack <= 0) return 0;
+            if (unsettled_.contains(pool) || refusedUntil_[pool] > now) continue;
+            const auto n = static_cast<unsigned>(
+                std::clamp(std::ceil(lack / std::max(t->capacity.cores, 1.0)), 1.0, 4.0));
+            plan.rent.push_back({"b-" + std::to_string(cluster_.token()) + '-' +
+                                     std::to_string(++bookings_),
+                                 t->name, zone, spot, n});
+            lack -= n * t->capacity.cores;
         }
     }
+    return std::max(0.0, lack);
 }
 
 void Fleet::rented(const Rent& r, const std::vector<std::string>& names, TimePoint now) {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -52,19 +52,31 @@
     struct ClassDemand {
         bool warm = false;  // an objective wants it to start soon, so idle room is worth its price
         bool spotAllowed = false;
+        Demand each;
         double now = 0, smooth = 0, peak = 0, largestJob = 0;
     };
     void measure(TimePoint now);
     void replaceStuck(TimePoint now);
     void shrink(TimePoint now);
+    void emptyDraining(TimePoint now);
     void grow(TimePoint now, Plan& plan);
-    void rentFor(double lack, bool spot, TimePoint now, Plan& plan);
+    double rentFor(double lack, bool spot, TimePoint now, Plan& plan);
+    struct Have {
+        double ordinary = 0, spot = 0;  // cores that can be given work
+    };
+    [[nodiscard]] double ordinaryForSpot(const Have& have) const;
+    [[nodiscard]] Have have(bool withComing) const;
+    [[nodiscard]] bool servesSpot(const std::string& type) const;
+    [[nodiscard]] double coresOf(const std::string& type) const;
+    [[nodiscard]] double pricePerCore(const MachineType& type, bool spot) const;
 
     scheduler::Cluster& cluster_;
     TimePoint since_;
     TimePoint measuredAt_{};
     std::map<std::string, ClassDemand> classes_;
     Target target_;
+    bool warm_ = false;  // some class that may use spot machines should start soon
+    std::map<MachineIndex, TimePoint> surplusSince_;
     std::map<std::string, Coming> coming_;  // rented, not up yet
     std::map<Pool, TimePoint> refusedUntil_;
     std::map<Pool, Rent> unsettled_;  // answers lost: asked again under the same name
--- a/src/scheduler/cluster.cpp
+++ b/src/scheduler/cluster.cpp
@@ -363,7 +363,7 @@
     m.spot = r.spot;
     if (m.presence == Presence::expected) {
         m.presence = Presence::up;
-        m.idleSince = now;
+        m.upSince = now;
     }
     if (std::tie(r.session, r.sequence) <= std::tie(m.session, m.sequence)) return;
     if (r.session > m.session && m.session != 0) {
@@ -409,7 +409,6 @@
                                 !c.directPending && !c.directUnknown;
         if (c.seen || fenced || unlaunched) release(index, i);
     }
-    if (!m.charges.empty()) m.idleSince = now;
 }
 
 bool Cluster::allBound(const Job& job) const {
--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -51,7 +51,9 @@
 
     /// Decides what runs where; safe to call at any time.
     void place(TimePoint now);
-    void drain(MachineIndex machine, TimePoint now);
+    /// Moves a replica off a machine that is to be returned, if another one that has its image
+    /// has room: stopped and started again it is away for a moment only.
+    void moveReplicas(MachineIndex machine, TimePoint now);
 
     void setCatalogue(fleet::Catalogue catalogue) { catalogue_ = std::move(catalogue); }
     [[nodiscard]] const fleet::Catalogue& catalogue() const { return catalogue_; }
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -16,6 +16,7 @@
 
 constexpr double epsilon = 1e-6;  // amounts are decimal fractions
 constexpr Duration overdueTurn = 240s;
+constexpr Duration settledReplica = 40s;  // a start that is stopped sooner does not count as one
 
 bool fits(const Demand& need, const Demand& have) {
     return need.cores <= have.cores + epsilon && need.gpus <= have.gpus + epsilon &&
@@ -245,14 +246,20 @@
     }
 }
 
-void Cluster::drain(MachineIndex machine, TimePoint) {
+void Cluster::moveReplicas(MachineIndex machine, TimePoint now) {
+    const auto moving = [&](const Charge& c) { return mustStop(c); };
     Machine& m = machines_[machine];
-    m.draining = true;
+    if (std::any_of(m.charges.begin(), m.charges.end(), moving)) return;  // one at a time
     for (const auto& c : m.charges) {
-        if (!owns(c, machine)) continue;
-        c.job->tasks[c.task].stopping = true;
+        if (c.job->spec.shape != Shape::service || !owns(c, machine)) continue;
+        JobTask& task = c.job->tasks[c.task];
+        if (task.phase != Phase::running || now - task.runningSince < settledReplica) continue;
+        const MachineIndex to = pick(*c.job, {}, now);
+        if (to == noMachine || startDelay(c.job->spec, machines_[to]) > 0) continue;
+        task.stopping = true;
+        effects_.push.insert(machine);
+        return;
     }
-    if (!m.charges.empty()) effects_.push.insert(machine);
 }
 
 }  // namespace basaltchute::scheduler
--- a/src/workers/machine.h
+++ b/src/workers/machine.h
@@ -50,9 +50,8 @@
     std::uint32_t failures = 0;
     TimePoint avoidUntil{};
     bool sick = false;
-    bool draining = false;  // to be returned
-    TimePoint idleSince{};
-    TimePoint rentedAt{};
+    bool draining = false;  // to be returned: it gets no more work
+    TimePoint upSince{};
     bool directBusy = false;
 
     [[nodiscard]] bool up() const { return presence == Presence::up; }
