Give up lone silent machines, keep room for replicas, grow fast for deadlines

Many silent machines at once are left alone: that is a cut of the leader's own. A wait of half a run before ordinary machines are rented for replays was kept.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -176,8 +176,12 @@
         o.response.keepAlive = true;
         co_return std::move(o.response);
     }
+    // Cut off from the leader, perhaps together with the worker: another node may reach both.
+    std::string to = known->node;
+    for (const auto& p : settings_.peers)
+        if (p.name != known->node && mesh_.connected(p.name)) to = p.name;
     json::Out o;
-    o.open().field("steward", known->node).close();
+    o.open().field("steward", to).close();
     co_return http::Response{421, o.text()};
 }
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -14,8 +14,9 @@
 namespace {
 constexpr Duration refusalPause = 15s;
 constexpr std::size_t maxComing = 24;
-constexpr Duration smoothing = 40s;    // for classes whose starts may wait
+constexpr Duration rise = 6s, fall = 40s;  // of the target for classes whose starts may wait
 constexpr double warmMargin = 4;       // of a warm class's peak: jobs come in bursts
+constexpr Duration worthDeleting = 10s;  // of a silent machine's lease still to run
 constexpr Duration spareHold = 30s;    // how long an idle machine beyond the target is kept
 }  // namespace
 
@@ -74,8 +75,13 @@
         c.now += each * (job->spec.tasks - job->doneCount);
         c.largestJob = std::max(c.largestJob, each * job->spec.tasks);
     }
-    const double weight =
-        measuredAt_ == TimePoint{} ? 1 : 1 - std::exp(-toSeconds(now - measuredAt_) / toSeconds(smoothing));
+    // Up fast and down slowly: the work has to be run anyway, and a machine that comes late
+    // costs as much as one that came in time; one sent away too soon has to boot again.
+    const auto weight = [&](Duration constant) {
+        if (measuredAt_ == TimePoint{}) return 1.0;
+        return 1 - std::exp(-toSeconds(now - measuredAt_) / toSeconds(constant));
+    };
+    const double up = weight(rise), down = weight(fall);
     measuredAt_ = now;
     target_ = {};
     warm_ = false;
@@ -84,14 +90,15 @@
                              cluster_.settings().objectives.end(), [&](const auto& o) {
                                  return o.jobClass == name && o.kind != "deadline";
                              });
-        c.smooth += (c.now - c.smooth) * weight;
+        c.smooth += (c.now - c.smooth) * (c.now > c.smooth ? up : down);
         c.peak = std::max(c.peak, c.now);
         warm_ = warm_ || (c.warm && c.spotAllowed);
-        double want = std::max(c.smooth, std::min(c.now, c.smooth * 2));
+        double want = c.smooth;
         if (c.warm && c.spotAllowed) want = cluster_.openJobs().empty() ? 0 : c.peak * warmMargin + c.largestJob;
         // Services: what runs, and room for a few more at once.
         if (c.warm && !c.spotAllowed) want = c.now * 1.1 + 4 * c.largestJob;
         (c.spotAllowed ? target_.spot : target_.ordinary) += want;
+        if (c.spotAllowed) target_.spotNow += c.now;
     }
 }
 
@@ -130,7 +137,7 @@
 
 double Fleet::ordinaryForSpot(const Have& have) const {
     // What only has a deadline can wait for a spot machine about as long as it runs.
-    return std::max(0.0, target_.spot - have.spot * (warm_ ? 1 : 2));
+    return std::max(0.0, warm_ ? target_.spot - have.spot : target_.spotNow - have.spot * 2);
 }
 
 void Fleet::shrink(TimePoint now) {
@@ -196,17 +203,40 @@
     }
 }
 
+void Fleet::giveUpSilent(TimePoint now) {
+    const auto& s = cluster_.settings();
+    const Duration patience = s.reportEvery * 7 / 2;
+    std::size_t up = 0;
+    std::vector<const Machine*> silent;
+    for (const auto& m : cluster_.machines()) {
+        if (!m.up()) continue;
+        ++up;
+        // Waiting for its lease would leave its tasks down for longer than this takes.
+        if (now - m.heardAt > patience && !m.charges.empty() && m.leaseEnd - now > worthDeleting)
+            silent.push_back(&m);
+    }
+    // Many at once is a cut of this node's own network, or its own starvation; the machines are
+    // well and deleting them would be the damage.
+    if (silent.size() > std::max<std::size_t>(1, up / 8)) return;
+    for (const auto* m : silent) {
+        if (dead_.insert(m->name).second)
+            spdlog::warn("machine {} is silent: giving it up to free its {} tasks", m->name,
+                         m->charges.size());
+    }
+}
+
 Plan Fleet::plan(TimePoint now) {
     Plan plan;
     replaceStuck(now);
     for (const auto& m : cluster_.machines())
         if (m.up() && m.sick && m.charges.empty()) dead_.insert(m.name);
-    const bool settled = now - since_ > 10s;  // after a take-over: machines still find the leader
     measure(now);
-    if (everListed_ && settled) {
+    // After a take-over machines first have to find the leader.
+    if (everListed_ && now - since_ > 5s) grow(now, plan);
+    if (everListed_ && now - since_ > 10s) {
+        giveUpSilent(now);
         shrink(now);
         emptyDraining(now);
-        grow(now, plan);
     }
     plan.remove.assign(dead_.begin(), dead_.end());
     if (plan.remove.size() > 100) plan.remove.resize(100);
@@ -218,19 +248,20 @@
     if (coming_.size() >= maxComing) return;
     const Have have = this->have(true);
     const double spare = std::max(0.0, have.ordinary - target_.ordinary);
-    rentFor(target_.ordinary - have.ordinary, false, now, plan);
+    rentFor(target_.ordinary - have.ordinary, Kind::ordinary, now, plan);
     // Where starts matter more than the price, ordinary machines that are there count; where
     // they do not, spot machines replace them and the ordinary ones go back.
     const double lack = target_.spot - have.spot - (warm_ ? spare : 0);
-    const double left = rentFor(lack, true, now, plan);
-    if (warm_) rentFor(left, false, now, plan);
-    else if (left > 0) rentFor(ordinaryForSpot(have) - spare, false, now, plan);
+    const double left = rentFor(lack, Kind::spot, now, plan);
+    if (warm_) rentFor(left, Kind::ordinaryForSpotWork, now, plan);
+    else if (left > 0) rentFor(ordinaryForSpot(have) - spare, Kind::ordinaryForSpotWork, now, plan);
 }
 
-double Fleet::rentFor(double lack, bool spot, TimePoint now, Plan& plan) {
+double Fleet::rentFor(double lack, Kind kind, TimePoint now, Plan& plan) {
+    const bool spot = kind == Kind::spot;
     std::vector<const MachineType*> byPrice;
     for (const auto& [name, t] : cluster_.catalogue())
-        if (!spot || servesSpot(name)) byPrice.push_back(&t);
+        if (kind == Kind::ordinary || servesSpot(name)) byPrice.push_back(&t);
     std::sort(byPrice.begin(), byPrice.end(), [&](const auto* a, const auto* b) {
         return pricePerCore(*a, spot) < pricePerCore(*b, spot);
     });
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -28,6 +28,7 @@
 struct Target {
     double ordinary = 0;  // for work that must not run on spot machines
     double spot = 0;      // for work that may
+    double spotNow = 0;   // what such work would use if all of it ran at this moment
 };
 
 /// Decides which machines to rent and to return. Pure: the cloud's answers come in as values.
@@ -58,9 +59,11 @@
     void measure(TimePoint now);
     void replaceStuck(TimePoint now);
     void shrink(TimePoint now);
+    void giveUpSilent(TimePoint now);
     void emptyDraining(TimePoint now);
     void grow(TimePoint now, Plan& plan);
-    double rentFor(double lack, bool spot, TimePoint now, Plan& plan);
+    enum class Kind { ordinary, spot, ordinaryForSpotWork };
+    double rentFor(double lack, Kind kind, TimePoint now, Plan& plan);
     struct Have {
         double ordinary = 0, spot = 0;  // cores that can be given work
     };
--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -97,6 +97,13 @@
     [[nodiscard]] bool allowed(const Job& job, const workers::Machine& m,
                                const Planned& planned) const;
     [[nodiscard]] double startDelay(const JobSpec& s, const workers::Machine& m) const;
+    /// Room kept on machines that have a class's images, so that its next tasks start at once.
+    struct WarmClass {
+        const Job* sample = nullptr;
+        std::set<std::string> images;
+    };
+    void findWarmClasses();
+    [[nodiscard]] bool leavesWarmRoom(const Job& job, MachineIndex machine, TimePoint now) const;
     MachineIndex pick(const Job& job, const Planned& planned, TimePoint now) const;
     bool placeGang(Job& job, TimePoint now);
     void preemptFor(const Job& job, TimePoint now);
@@ -110,6 +117,7 @@
     std::vector<Job*> open_;
     workers::Registry machines_;
     std::unordered_map<std::string, Demand> teamUse_;  // of everything possibly running
+    std::map<std::string, WarmClass> warm_;  // found anew in every pass
     std::unordered_map<std::string, double> bias_;  // log of run time over estimate, by class
     Effects effects_;
 };
--- a/src/scheduler/cluster_test.cpp
+++ b/src/scheduler/cluster_test.cpp
@@ -356,6 +356,39 @@
     EXPECT_EQ(victim.boundCount, 1U);
 }
 
+TEST_F(ClusterTest, WhatCanStillMeetItsObjectiveGoesBeforeWhatMissedIt) {
+    settings.objectives = {{"wait", "c", 15s, 0.8}};
+    JobSpec late = testing::spec("run-1", 2);
+    submit(late);
+    clock.advance(20s);
+    submit(testing::spec("run-2", 2));
+    Worker w("n-1");
+    exchange(w);
+    place();
+    EXPECT_EQ(cluster->find("run-2")->boundCount, 2U);
+    EXPECT_EQ(cluster->find("run-1")->boundCount, 0U);
+}
+
+TEST_F(ClusterTest, LeavesRoomForReplicasOnMachinesThatHaveTheirImage) {
+    settings.objectives = {{"wait", "web", 1s, 0.9}};
+    Worker w("n-1"), v("n-2"), spot("n-3", "a", true);
+    JobSpec web = testing::spec("run-1");
+    web.jobClass = "web";
+    web.shape = Shape::service;
+    web.priority = Priority::production;
+    web.spotAllowed = false;
+    web.demand = {2, 0, 2};
+    web.image = "img-web";
+    running(w, web);
+    exchange(v);
+    Job& batch = submit(testing::spec("run-2", 4));
+    place();
+    EXPECT_EQ(batch.boundCount, 2U) << "n-2 has not the image and is filled; n-1 keeps its room";
+    exchange(spot);
+    place();
+    EXPECT_EQ(batch.boundCount, 4U);
+}
+
 TEST_F(ClusterTest, AMachineThatFailsSeveralJobsGetsNoMoreWork) {
     Worker w("n-1");
     exchange(w);
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr double epsilon = 1e-6;  // amounts are decimal fractions
+constexpr int warmRoom = 3;       // tasks of a class that must start at once
 constexpr Duration overdueTurn = 240s;
 constexpr Duration settledReplica = 40s;  // a start that is stopped sooner does not count as one
 
@@ -104,6 +105,43 @@
     return fetch;
 }
 
+void Cluster::findWarmClasses() {
+    warm_.clear();
+    for (const Job* job : open_) {
+        const JobSpec& s = job->spec;
+        if (s.spotAllowed || s.shape != Shape::service) continue;
+        const bool hurried = std::any_of(settings_.objectives.begin(), settings_.objectives.end(),
+                                         [&](const auto& o) {
+                                             return o.kind == "wait" && o.jobClass == s.jobClass;
+                                         });
+        if (!hurried) continue;
+        WarmClass& w = warm_[s.jobClass];
+        w.sample = job;
+        w.images.insert(s.image);
+    }
+}
+
+bool Cluster::leavesWarmRoom(const Job& job, MachineIndex machine, TimePoint now) const {
+    for (const auto& [name, w] : warm_) {
+        const JobSpec& s = w.sample->spec;
+        if (s.priority >= job.spec.priority) continue;
+        for (const auto& image : w.images) {
+            if (!machines_[machine].images.contains(image)) continue;
+            int room = 0;
+            for (MachineIndex i = 0; i < machines_.size() && room < warmRoom; ++i) {
+                const Machine& m = machines_[i];
+                if (m.spot || m.draining || m.sick || !fresh(m, now) || !m.images.contains(image))
+                    continue;
+                Demand free = freeOn(m);
+                if (i == machine) subtract(free, job.spec.demand);
+                for (; room < warmRoom && fits(s.demand, free); ++room) subtract(free, s.demand);
+            }
+            if (room < warmRoom) return false;
+        }
+    }
+    return true;
+}
+
 MachineIndex Cluster::pick(const Job& job, const Planned& planned, TimePoint now) const {
     MachineIndex best = noMachine;
     double bestCost = std::numeric_limits<double>::infinity();
@@ -116,6 +154,7 @@
         if (const auto p = planned.find(i); p != planned.end()) subtract(free, p->second.demand);
         if (!fits(job.spec.demand, free)) continue;
         if (!allowed(job, m, planned)) continue;
+        if (!m.spot && !leavesWarmRoom(job, i, now)) continue;
         const Demand& whole = catalogue_.at(m.type).capacity;
         // Seconds until it runs, then: leave ordinary machines to work that needs them, and
         // fill the fullest machine that has room so that whole ones stay whole.
@@ -203,6 +242,7 @@
         std::uint32_t next = 0;
     };
     std::vector<Entry> queue;
+    findWarmClasses();
     for (Job* job : open_) {
         const std::uint32_t waiting = job->spec.tasks - job->doneCount - job->boundCount;
         if (waiting > 0 && job->accepted() && now >= job->notBefore)
@@ -240,6 +280,9 @@
                 live.erase(least);
                 continue;
             }
+            spdlog::debug("{}/{} goes to {} after {:.2f} s, image in {:.1f} s", job.spec.id, e.next,
+                          machines_[m].name, toSeconds(now - job.submittedAt),
+                          startDelay(job.spec, machines_[m]));
             bind(job, e.next, m, now);
         }
         from = to;
