--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -44,15 +44,17 @@
 
 }  // namespace
 
-Controller::Controller(Loop& loop, settings::Settings settings, std::string incarnation)
+Controller::Controller(Loop& loop, settings::Settings settings,
+                       settings::Operator operatorSettings, std::string incarnation)
     : loop_(loop),
       settings_(std::move(settings)),
+      operator_(std::move(operatorSettings)),
       scope_(loop),
       state_(loop, settings_),
       leadership_(loop, state_, settings_, std::move(incarnation),
                   {[this](Token, state::Guard guard) {
-                       reign_ = std::make_shared<Reign>(loop_, settings_, state_, leadership_,
-                                                        std::move(guard));
+                       reign_ = std::make_shared<Reign>(loop_, settings_, operator_, state_,
+                                                        leadership_, std::move(guard));
                        reign_->start();
                        mesh_.announce();
                    },
@@ -83,7 +85,7 @@
 }
 
 Task<void> Controller::shutDown() {
-    leadership_.stepDown("shutting down");
+    leadership_.retire();
     // Leave the resignation a moment to reach the state service: the next leader need not wait.
     Scope pause(loop_);
     co_await loop_.sleep(100ms, pause);
@@ -207,7 +209,15 @@
         o.field("jobs", static_cast<std::uint64_t>(c.jobCount()));
         o.field("open", static_cast<std::uint64_t>(c.openJobs().size()));
         o.field("unwritten", static_cast<std::uint64_t>(reign_->backlog()));
-        o.key("machines").openArray();
+        o.key("cells").open();
+        for (const auto& [type, pool] : c.pools()) {
+            o.key(type).open();
+            o.field("freeZones", static_cast<std::uint64_t>(pool.freeCells(cells::Level::zone)));
+            o.field("freeMachines", static_cast<std::uint64_t>(pool.freeCells(cells::Level::machine)));
+            o.field("freeSlots", static_cast<std::uint64_t>(pool.freeCells(cells::Level::slot)));
+            o.close();
+        }
+        o.close().key("machines").openArray();
         for (const auto& m : c.machines()) {
             if (m.presence == workers::Presence::gone) continue;
             o.open().field("name", m.name).field("type", m.type).field("zone", m.zone);
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -10,7 +10,8 @@
 /// One controller: serves users and workers, follows or leads, and speaks to its peers.
 class Controller {
   public:
-    Controller(Loop& loop, settings::Settings settings, std::string incarnation);
+    Controller(Loop& loop, settings::Settings settings, settings::Operator operatorSettings,
+               std::string incarnation);
     void start();
     Task<void> shutDown();
 
@@ -24,6 +25,7 @@
 
     Loop& loop_;
     settings::Settings settings_;
+    settings::Operator operator_;
     Scope scope_;
     state::Client state_;
     Leadership leadership_;
--- /dev/null
+++ b/src/app/controller_test.cpp
@@ -0,0 +1,196 @@
+#include "app/controller.h"
+
+#include <gtest/gtest.h>
+
+#include "testing/world.h"
+
+// Whole controllers on a fake clock, with the state service, the cloud, users and workers
+// played by their published protocols.
+
+namespace basaltchute::app {
+namespace {
+
+using namespace std::chrono_literals;
+
+class ControllerTest : public ::testing::Test {
+  protected:
+    testing::World world;
+    testing::StateService state{world};
+    testing::CloudService cloud{world};
+    struct Node {
+        settings::Settings settings;
+        std::unique_ptr<Controller> controller;
+        std::unique_ptr<http::Client> client;
+    };
+    std::vector<std::unique_ptr<Node>> nodes;
+    Scope users{world.loop};
+
+    static std::string freeAddress() {
+        // A port that was free a moment ago, for settings that must name it beforehand.
+        const FakeClock clock;
+        Loop loop(clock);
+        return Listener(loop, "127.0.0.1:0").address();
+    }
+    void start(std::size_t count) {
+        for (std::size_t i = 0; i < count; ++i) {
+            auto n = std::make_unique<Node>();
+            n->settings = testing::someSettings();
+            n->settings.node = "rig-" + std::to_string(i);
+            n->settings.listen = freeAddress();
+            n->settings.meshListen = freeAddress();
+            n->settings.state = state.address();
+            n->settings.cloud = cloud.address();
+            nodes.push_back(std::move(n));
+        }
+        for (auto& n : nodes)
+            for (auto& other : nodes)
+                if (n != other)
+                    n->settings.peers.push_back(
+                        {other->settings.node, "a", other->settings.meshListen});
+        for (auto& n : nodes) {
+            n->controller = std::make_unique<Controller>(world.loop, n->settings,
+                                                         settings::Operator{}, "first");
+            n->client = std::make_unique<http::Client>(world.loop, n->settings.listen);
+            n->controller->start();
+        }
+        world.run(4s);
+    }
+    http::Outcome ask(std::size_t node, const std::string& method, const std::string& target,
+                      const std::string& body = "") {
+        http::Outcome out;
+        bool done = false;
+        users.spawn(send(*nodes[node]->client, {method, target, body}, out, done));
+        world.until([&] { return done; });
+        return out;
+    }
+    Task<void> send(http::Client& client, http::Request request, http::Outcome& out, bool& done) {
+        out = co_await client.request(std::move(request), 5s, users);
+        done = true;
+    }
+    void TearDown() override {
+        for (auto& n : nodes) {
+            bool done = false;
+            world.scope.spawn(stop(*n->controller, done));
+            world.until([&] { return done; });
+        }
+        bool done = false;
+        world.loop.spawn(endUsers(done));
+        world.until([&] { return done; });
+    }
+    static Task<void> stop(Controller& c, bool& done) {
+        co_await c.shutDown();
+        done = true;
+    }
+    Task<void> endUsers(bool& done) {
+        co_await users.end();
+        co_await world.scope.end();
+        done = true;
+    }
+};
+
+TEST_F(ControllerTest, AnyNodeTakesAJobOnceAndItStandsBeforeTheAnswer) {
+    start(3);
+    for (std::size_t i = 0; i < 3; ++i) EXPECT_EQ(ask(i, "GET", "/up").response.status, 200);
+    const auto first = ask(0, "POST", "/v1/jobs", testing::submission("run-1"));
+    EXPECT_EQ(first.response.status, 201) << first.response.body;
+    EXPECT_TRUE(state.keys.contains("jobs/run-1"));
+    EXPECT_EQ(ask(1, "POST", "/v1/jobs", testing::submission("run-1")).response.status, 200);
+    EXPECT_EQ(ask(2, "GET", "/v1/jobs/run-1").response.status, 200);
+    EXPECT_EQ(ask(2, "GET", "/v1/jobs/run-2").response.status, 404);
+    EXPECT_EQ(ask(0, "POST", "/v1/jobs", "{").response.status, 400);
+    EXPECT_EQ(ask(1, "POST", "/v1/jobs", testing::submission("run-3", R"(,"crew2":1)")).response.status, 201);
+    EXPECT_EQ(ask(1, "PUT", "/v1/jobs").response.status, 405);
+    EXPECT_EQ(ask(1, "GET", "/nowhere").response.status, 404);
+    EXPECT_EQ(ask(1, "POST", "/status").response.status, 405);
+    const auto over = ask(2, "POST", "/v1/jobs/run-1/withdraw");
+    EXPECT_EQ(over.response.status, 200);
+    EXPECT_NE(over.response.body.find("cancelled"), std::string::npos);
+    EXPECT_NE(state.keys["jobs/run-1"].data.find("cancelled"), std::string::npos);
+}
+
+TEST_F(ControllerTest, AnOutageDuringAcceptanceIsRefusedAtOnceAndTheJobIsTakenAfterwards) {
+    start(1);
+    state.down = true;
+    const TimePoint asked = world.clock.now();
+    const auto refused = ask(0, "POST", "/v1/jobs", testing::submission("run-1"));
+    EXPECT_EQ(refused.response.status, 503);
+    EXPECT_GT(refused.response.retryAfterS, 0);
+    EXPECT_LT(world.clock.now() - asked, 1s) << "not held back";
+    EXPECT_NE(ask(0, "GET", "/v1/jobs/run-1").response.status, 200);
+    world.run(10s);
+    state.down = false;
+    world.run(6s);
+    const auto taken = ask(0, "POST", "/v1/jobs", testing::submission("run-1"));
+    EXPECT_TRUE(taken.response.status == 201 || taken.response.status == 200);
+    EXPECT_TRUE(state.keys.contains("jobs/run-1"));
+}
+
+TEST_F(ControllerTest, AnotherNodeTakesOverWithAHigherTokenAndKnowsTheJobs) {
+    start(2);
+    ASSERT_EQ(ask(0, "POST", "/v1/jobs", testing::submission("run-1")).response.status, 201);
+    const std::string before = state.keys.at("lead/holder").data;
+    state.endGrantOf("lead/holder");  // as if the leader had been silent for too long
+    world.run(6s);
+    ASSERT_TRUE(state.keys.contains("lead/holder"));
+    EXPECT_NE(state.keys.at("lead/holder").data, before);
+    EXPECT_EQ(state.keys.at("lead/token").data, R"({"token":2})");
+    for (std::size_t i = 0; i < 2; ++i)
+        EXPECT_EQ(ask(i, "GET", "/v1/jobs/run-1").response.status, 200);
+}
+
+TEST_F(ControllerTest, BeatsReachTheLeaderThroughAnyNodeAndAHigherTokenDethronesIt) {
+    start(2);
+    const auto beat = [](unsigned tick, unsigned token) {
+        return R"({"host":"n-1","addr":"127.0.0.1:1","rigKind":"box","hall":"a","loaners":false,"stint":1,"tick":)" +
+               std::to_string(tick) + R"(,"baton":)" + std::to_string(token) +
+               R"(,"recallS":null,"splits":[]})";
+    };
+    for (std::size_t i = 0; i < 2; ++i) {
+        const auto o = ask(i, "POST", "/agent/beat", beat(static_cast<unsigned>(i) + 1, 0));
+        EXPECT_EQ(o.response.status, 200);
+        EXPECT_NE(o.response.body.find(R"("baton":1)"), std::string::npos);
+    }
+    const auto o = ask(0, "POST", "/agent/beat", beat(9, 5));
+    EXPECT_NE(o.response.status, 200) << "the worker would drop it and lose its lease";
+}
+
+TEST_F(ControllerTest, TheRightToActEndsBeforeTheGrantCan) {
+    start(1);
+    const Duration life = Leadership::lifeFor(nodes[0]->settings);
+    state.down = true;
+    const TimePoint from = world.clock.now();
+    bool acted = true;
+    while (world.clock.now() - from < life + 1s) {
+        world.run(50ms);
+        acted = ask(0, "GET", "/v1/jobs/run-9").response.status == 404;
+        if (!acted) break;
+    }
+    EXPECT_FALSE(acted);
+    EXPECT_LT(world.clock.now() - from, life);
+}
+
+TEST_F(ControllerTest, AFormerLeadersWriteIsRefused) {
+    start(1);
+    auto settings = nodes[0]->settings;
+    state::Client client(world.loop, settings);
+    Scope scope(world.loop);
+    bool fenced = false, committed = false;
+    state::Writer writer(world.loop, client, 20, state::Guard{"lead/holder", 1},
+                         {[](const std::string&) { return state::Encoded{"{}", 1}; },
+                          [&](const std::string&, std::uint64_t) { committed = true; }, [] {},
+                          [&] { fenced = true; }});
+    scope.spawn(writer.run(scope));
+    writer.dirty("jobs/run-1", state::Urgency::users);
+    world.until([&] { return fenced || committed; });
+    EXPECT_TRUE(fenced);
+    EXPECT_FALSE(state.keys.contains("jobs/run-1"));
+    bool done = false;
+    world.scope.spawn([](Scope& s, bool& flag) -> Task<void> {
+        co_await s.end();
+        flag = true;
+    }(scope, done));
+    world.until([&] { return done; });
+}
+
+}  // namespace
+}  // namespace basaltchute::app
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -37,11 +37,16 @@
 
 }  // namespace
 
+namespace settings = basaltchute::settings;
+
 int main(int argc, char** argv) {
     CLI::App cli{"basaltchute: a cluster scheduler. Runs one controller."};
-    std::string config, check;
+    std::string config, check, operatorPath;
     cli.add_option("--config", config, "Run with this settings file (JSON)")->type_name("FILE");
     cli.add_option("--check-config", check, "Check a settings file and exit")->type_name("FILE");
+    cli.add_option("--operator", operatorPath,
+                   "The operators' own settings (JSON, by deploy/operator.schema.json)")
+        ->type_name("FILE");
     cli.set_version_flag("--version", "basaltchute " BASALTCHUTE_VERSION);
     CLI11_PARSE(cli, argc, argv);
     if (config.empty() && check.empty()) {
@@ -50,11 +55,21 @@
     }
     setUpLog();
     const std::string path = config.empty() ? check : config;
-    auto loaded = basaltchute::settings::load(path);
-    if (const auto* error = std::get_if<basaltchute::settings::Error>(&loaded)) {
+    auto loaded = settings::load(path);
+    if (const auto* error = std::get_if<settings::Error>(&loaded)) {
         std::cerr << path << ": " << *error << '\n';
         return 2;
     }
+    const auto& platform = std::get<settings::Settings>(loaded);
+    settings::Operator operatorSettings;
+    if (!operatorPath.empty()) {
+        auto own = settings::loadOperator(operatorPath, platform);
+        if (const auto* error = std::get_if<settings::Error>(&own)) {
+            std::cerr << operatorPath << ": " << *error << '\n';
+            return 2;
+        }
+        operatorSettings = std::get<settings::Operator>(std::move(own));
+    }
     if (config.empty()) return 0;
 
     std::signal(SIGTERM, requestEnd);
@@ -67,7 +82,7 @@
         std::random_device random;
         const std::string incarnation = std::to_string(random()) + std::to_string(random());
         basaltchute::app::Controller controller(
-            loop, std::get<basaltchute::settings::Settings>(std::move(loaded)), incarnation);
+            loop, platform, std::move(operatorSettings), incarnation);
         controller.start();
         loop.spawn(waitForEnd(loop, scope, controller));
         loop.run();
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -21,7 +21,8 @@
 }
 }  // namespace
 
-Reign::Reign(Loop& loop, const settings::Settings& settings, state::Client& state,
+Reign::Reign(Loop& loop, const settings::Settings& settings,
+             const settings::Operator& operatorSettings, state::Client& state,
              Leadership& leadership, state::Guard guard)
     : loop_(loop),
       settings_(settings),
@@ -41,7 +42,9 @@
                [this] { written_.notify(); },
                [this] { leadership_.stepDown("another leader's key is in place"); }}),
       cloud_(loop, settings),
-      fleet_(cluster_, loop.now()) {}
+      fleet_(cluster_, loop.now()) {
+    cluster_.setOperator(operatorSettings);
+}
 
 void Reign::start() {
     scope_.spawn(load());
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -140,12 +140,26 @@
     return std::max(0.0, warm_ ? target_.spot - have.spot : target_.spotNow - have.spot * 2);
 }
 
+std::uint32_t Fleet::heldOf(const std::string& type) const {
+    const auto it = cluster_.operatorSettings().held.find(type);
+    return it == cluster_.operatorSettings().held.end() ? 0 : it->second;
+}
+std::uint32_t Fleet::ordinaryOf(const std::string& type) const {
+    std::uint32_t n = 0;
+    for (const auto& m : cluster_.machines())
+        if (m.up() && !m.spot && !m.sick && !m.draining && m.type == type) ++n;
+    for (const auto& [name, c] : coming_)
+        if (std::get<0>(c.pool) == type && !std::get<2>(c.pool)) ++n;
+    return n;
+}
+
 void Fleet::shrink(TimePoint now) {
     Have have = this->have(false);
     const auto surplus = [&](const Machine& m) {
         const double c = coresOf(m.type);
         if (m.spot && !servesSpot(m.type)) return true;
         if (m.spot) return have.spot - c >= target_.spot;
+        if (heldOf(m.type) > 0 && ordinaryOf(m.type) <= heldOf(m.type)) return false;
         // Work that may use spot machines uses ordinary ones where it finds no others.
         return have.ordinary - c >= target_.ordinary + ordinaryForSpot(have);
     };
@@ -246,6 +260,15 @@
 void Fleet::grow(TimePoint now, Plan& plan) {
     for (const auto& [pool, rent] : unsettled_) plan.rent.push_back(rent);
     if (coming_.size() >= maxComing) return;
+    for (const auto& [name, t] : cluster_.catalogue()) {
+        std::uint32_t n = ordinaryOf(name);
+        for (const auto& zone : t.zones) {
+            const Pool pool{name, zone, false};
+            if (n >= heldOf(name) || unsettled_.contains(pool) || refusedUntil_[pool] > now) continue;
+            plan.rent.push_back({nextBooking(), name, zone, false, std::min(4U, heldOf(name) - n)});
+            n += plan.rent.back().count;
+        }
+    }
     const Have have = this->have(true);
     const double spare = std::max(0.0, have.ordinary - target_.ordinary);
     rentFor(target_.ordinary - have.ordinary, Kind::ordinary, now, plan);
@@ -257,6 +280,11 @@
     else if (left > 0) rentFor(ordinaryForSpot(have) - spare, Kind::ordinaryForSpotWork, now, plan);
 }
 
+std::string Fleet::nextBooking() {
+    // Never used again: the token is this leader's alone.
+    return "b-" + std::to_string(cluster_.token()) + '-' + std::to_string(++bookings_);
+}
+
 double Fleet::rentFor(double lack, Kind kind, TimePoint now, Plan& plan) {
     const bool spot = kind == Kind::spot;
     std::vector<const MachineType*> byPrice;
@@ -272,9 +300,7 @@
             if (unsettled_.contains(pool) || refusedUntil_[pool] > now) continue;
             const auto n = static_cast<unsigned>(
                 std::clamp(std::ceil(lack / std::max(t->capacity.cores, 1.0)), 1.0, 4.0));
-            plan.rent.push_back({"b-" + std::to_string(cluster_.token()) + '-' +
-                                     std::to_string(++bookings_),
-                                 t->name, zone, spot, n});
+            plan.rent.push_back({nextBooking(), t->name, zone, spot, n});
             lack -= n * t->capacity.cores;
         }
     }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -62,6 +62,9 @@
     void giveUpSilent(TimePoint now);
     void emptyDraining(TimePoint now);
     void grow(TimePoint now, Plan& plan);
+    std::string nextBooking();
+    [[nodiscard]] std::uint32_t heldOf(const std::string& type) const;
+    [[nodiscard]] std::uint32_t ordinaryOf(const std::string& type) const;
     enum class Kind { ordinary, spot, ordinaryForSpotWork };
     double rentFor(double lack, Kind kind, TimePoint now, Plan& plan);
     struct Have {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -8,7 +8,7 @@
     : loop_(loop), listener_(loop, address), limits_(limits), handler_(std::move(handler)) {}
 
 void Server::start(Scope& scope) {
-    loop_.spawn(acceptAll(scope));
+    scope.spawn(acceptAll(scope));
 }
 
 Task<void> Server::acceptAll(Scope& scope) {
@@ -23,7 +23,7 @@
         }
         open_.push_back(std::make_unique<Connection>(loop_));
         open_.back()->socket = std::move(socket);
-        loop_.spawn(serve(std::prev(open_.end())));
+        scope.spawn(serve(std::prev(open_.end())));
     }
     for (auto& c : open_) c->scope.cancel();
 }
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -190,6 +190,7 @@
             if (t.state == TaskState::done || t.attempt == 0) continue;
             o.openArray().value(i).value(t.attempt);
             if (t.state == TaskState::bound) o.value(name(t.machine));
+            if (t.state == TaskState::bound && t.guaranteed) o.value(true);
             o.closeArray();
         }
     }
@@ -245,6 +246,7 @@
             if (b.Size() < 3 || !b[2].IsString()) continue;
             t.state = TaskState::bound;
             t.machine = machine(b[2].GetString());
+            t.guaranteed = b.Size() > 3 && b[3].IsTrue();
             ++job->boundCount;
         }
     }
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -48,6 +48,7 @@
 struct JobTask {
     TaskState state = TaskState::waiting;
     Phase phase = Phase::binding;
+    bool guaranteed = false;  // in cells of its team's reservation
     bool stopping = false;  // told to stop: by preemption, draining or cancellation
     MachineIndex machine = noMachine;
     Attempt attempt = 0;
--- a/src/leadership/leadership.cpp
+++ b/src/leadership/leadership.cpp
@@ -53,10 +53,15 @@
     changed_.notify();
 }
 
+void Leadership::retire() {
+    retired_ = true;
+    stepDown("this node is ending");
+}
+
 Task<void> Leadership::run(Scope& scope) {
-    while (!scope.cancelled()) {
+    while (!scope.cancelled() && !retired_) {
         co_await follow(scope);
-        if (scope.cancelled()) break;
+        if (scope.cancelled() || retired_) break;
         const bool won = co_await campaign(scope);
         if (won) co_await lead(scope);
     }
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -35,6 +35,8 @@
     [[nodiscard]] bool stateAnswers() const { return stateAnswers_; }
     void heard(const LeaderHint& hint);
     void stepDown(const std::string& why);
+    /// Steps down for good: this node is ending.
+    void retire();
     [[nodiscard]] static Duration lifeFor(const settings::Settings& settings);
 
   private:
@@ -49,7 +51,7 @@
     Duration life_;
     Hooks hooks_;
     Event changed_;
-    bool leading_ = false, stateAnswers_ = false, resign_ = false;
+    bool leading_ = false, stateAnswers_ = false, resign_ = false, retired_ = false;
     Token token_ = 0;
     state::GrantId grant_ = 0;
     state::Revision holder_ = 0;
--- a/src/scheduler/cluster.cpp
+++ b/src/scheduler/cluster.cpp
@@ -192,6 +192,7 @@
 void Cluster::release(MachineIndex machine, std::size_t charge) {
     Machine& m = machines_[machine];
     const Charge c = m.charges[charge];
+    freeCells(c, machine);
     m.charges.erase(m.charges.begin() + static_cast<std::ptrdiff_t>(charge));
     add(teamUse_[c.job->spec.team], c.job->spec.demand, -1);
     if (owns(c, machine)) unbind(*c.job, c.task);
@@ -202,7 +203,8 @@
         release(machine, machines_[machine].charges.size() - 1);
 }
 
-void Cluster::bind(Job& job, std::uint32_t task, MachineIndex machine, TimePoint now) {
+void Cluster::bind(Job& job, std::uint32_t task, MachineIndex machine, TimePoint now,
+                   std::vector<cells::CellIndex> cells) {
     JobTask& t = job.tasks[task];
     t.state = TaskState::bound;
     t.phase = Phase::binding;
@@ -217,7 +219,10 @@
     c.attempt = t.attempt;
     c.version = job.records[job.recordOf(task)].version;
     c.boundAt = now;
-    machines_[machine].charges.push_back(c);
+    c.cells = std::move(cells);
+    t.guaranteed = !c.cells.empty();
+    chargeCells(c, machine);
+    machines_[machine].charges.push_back(std::move(c));
     add(teamUse_[job.spec.team], job.spec.demand, 1);
 }
 
@@ -226,6 +231,7 @@
     m.presence = Presence::gone;
     m.heardAt = now;
     releaseAll(machine);
+    if (cells::Pool* pool = poolOf(m)) pool->removeMachine(machine);
 }
 
 void Cluster::expire(TimePoint now) {
@@ -339,6 +345,7 @@
             fresh.ghost = true;
         }
         add(teamUse_[job->spec.team], job->spec.demand, 1);
+        chargeCells(fresh, machine);
         m.charges.push_back(fresh);
         c = std::prev(m.charges.end());
     }
@@ -364,6 +371,7 @@
     if (m.presence == Presence::expected) {
         m.presence = Presence::up;
         m.upSince = now;
+        enterPool(index);
     }
     if (std::tie(r.session, r.sequence) <= std::tie(m.session, m.sequence)) return;
     if (r.session > m.session && m.session != 0) {
--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -8,6 +8,7 @@
 
 #include "fleet/catalogue.h"
 #include "jobs/job.h"
+#include "settings/operator.h"
 #include "settings/settings.h"
 #include "state/writer.h"
 #include "workers/machine.h"
@@ -27,6 +28,9 @@
 class Cluster {
   public:
     Cluster(const settings::Settings& settings, Token token, TimePoint now);
+    void setOperator(const settings::Operator& settings) { operator_ = settings; }
+    [[nodiscard]] const settings::Operator& operatorSettings() const { return operator_; }
+    [[nodiscard]] const std::map<std::string, cells::Pool>& pools() const { return pools_; }
 
     // Records
     bool load(const std::string& key, const std::string& data, TimePoint now, WallMillis wall);
@@ -55,7 +59,7 @@
     /// has room: stopped and started again it is away for a moment only.
     void moveReplicas(MachineIndex machine, TimePoint now);
 
-    void setCatalogue(fleet::Catalogue catalogue) { catalogue_ = std::move(catalogue); }
+    void setCatalogue(fleet::Catalogue catalogue);
     [[nodiscard]] const fleet::Catalogue& catalogue() const { return catalogue_; }
     [[nodiscard]] workers::Registry& machines() { return machines_; }
     [[nodiscard]] const workers::Registry& machines() const { return machines_; }
@@ -70,7 +74,8 @@
 
   private:
     void touch(Job& job, std::uint32_t task, state::Urgency urgency);
-    void bind(Job& job, std::uint32_t task, MachineIndex machine, TimePoint now);
+    void bind(Job& job, std::uint32_t task, MachineIndex machine, TimePoint now,
+              std::vector<cells::CellIndex> cells = {});
     void finish(Job& job, std::uint32_t task);
     void unbind(Job& job, std::uint32_t task);
     bool owns(const workers::Charge& c, MachineIndex machine) const;
@@ -85,6 +90,19 @@
     bool mustStop(const workers::Charge& c) const;
     std::vector<workers::Order> orders(MachineIndex machine, bool direct);
 
+    // Cells
+    cells::Pool* poolOf(const workers::Machine& m);
+    [[nodiscard]] std::uint32_t slotsFor(const JobSpec& s, const std::string& type) const;
+    void enterPool(MachineIndex machine);
+    void chargeCells(workers::Charge& c, MachineIndex machine);
+    void freeCells(const workers::Charge& c, MachineIndex machine);
+    std::optional<std::vector<cells::CellIndex>> cellsOn(cells::Pool& pool, const std::string& team,
+                                                         std::uint32_t slots,
+                                                         const std::function<bool(MachineIndex)>& usable);
+    [[nodiscard]] bool withinGuarantee(const Job& job) const;
+    bool placeGuaranteed(Job& job, std::uint32_t task, TimePoint now);
+    [[nodiscard]] double weightOf(const std::string& team) const;
+
     // Placement
     [[nodiscard]] TimePoint due(const Job& job, TimePoint now) const;
     [[nodiscard]] double biasOf(const std::string& jobClass) const;
@@ -106,16 +124,29 @@
     [[nodiscard]] bool leavesWarmRoom(const Job& job, MachineIndex machine, TimePoint now) const;
     MachineIndex pick(const Job& job, const Planned& planned, TimePoint now) const;
     bool placeGang(Job& job, TimePoint now);
+    [[nodiscard]] bool placeable(const Job& job, MachineIndex machine, TimePoint now) const;
+    /// Stops work on the machine until the job's task fits; false if that is not enough.
+    bool makeRoom(const Job& job, MachineIndex machine,
+                  const std::function<bool(const workers::Charge&)>& victim);
     void preemptFor(const Job& job, TimePoint now);
     [[nodiscard]] bool withinLimit(const Job& job) const;
 
     const settings::Settings& settings_;
+    settings::Operator operator_;
     Token token_;
     TimePoint since_;
     fleet::Catalogue catalogue_;
     std::unordered_map<JobId, std::unique_ptr<Job>> jobs_;
     std::vector<Job*> open_;
     workers::Registry machines_;
+    std::map<std::string, cells::Pool> pools_;  // by machine type
+    /// Machine cells that a team's tasks share: bound with the first, returned with the last.
+    struct Shared {
+        std::string team;
+        std::uint32_t used = 0, tasks = 0;
+    };
+    std::map<std::pair<std::string, cells::CellIndex>, Shared> shared_;
+    std::unordered_map<std::string, Demand> guaranteedUse_;
     std::unordered_map<std::string, Demand> teamUse_;  // of everything possibly running
     std::map<std::string, WarmClass> warm_;  // found anew in every pass
     std::unordered_map<std::string, double> bias_;  // log of run time over estimate, by class
--- /dev/null
+++ b/src/scheduler/guarantees_test.cpp
@@ -0,0 +1,132 @@
+#include <gtest/gtest.h>
+
+#include "scheduler/cluster.h"
+#include "testing/world.h"
+
+namespace basaltchute::scheduler {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::Worker;
+
+class GuaranteesTest : public ::testing::Test {
+  protected:
+    FakeClock clock;
+    settings::Settings settings = testing::someSettings();
+    std::unique_ptr<Cluster> cluster;
+    std::map<std::string, std::string> records;
+
+    void start(const settings::Operator& own, Token token = 1) {
+        cluster = std::make_unique<Cluster>(settings, token, clock.now());
+        cluster->setOperator(own);
+        cluster->setCatalogue(testing::someCatalogue());
+    }
+    void commit() {
+        for (Effects e = cluster->take(); !e.dirty.empty(); e = cluster->take())
+            for (const auto& d : e.dirty) {
+                const auto encoded = cluster->encode(d.first);
+                records[d.first] = encoded.data;
+                cluster->committed(d.first, encoded.version);
+            }
+    }
+    void exchange(Worker& w) {
+        w.execute(cluster->beat(w.next(), clock.now()));
+        w.report.token = cluster->token();
+    }
+    Job& submit(const std::string& id, const std::string& team, std::uint32_t tasks) {
+        JobSpec s = testing::spec(id, tasks);
+        s.team = team;
+        cluster->submit(s, clock.now(), clock.wall());
+        commit();
+        return *cluster->find(id);
+    }
+    void settle(std::initializer_list<Worker*> workers) {
+        for (int i = 0; i < 8; ++i) {  // tasks are made room for one after the other
+            cluster->place(clock.now());
+            commit();
+            for (Worker* w : workers) exchange(*w);
+        }
+    }
+    static settings::Operator machineFor(const std::string& team) {
+        settings::Operator own;
+        own.reservations = {{team, "box", cells::Level::machine, 1}};
+        own.held = {{"box", 2}};
+        return own;
+    }
+};
+
+TEST_F(GuaranteesTest, AReservationTakesBackWhatOthersBorrowed) {
+    start(machineFor("red"));
+    Worker w("n-1"), v("n-2");
+    settle({&w, &v});
+    Job& borrowed = submit("run-1", "blue", 4);
+    settle({&w, &v});
+    EXPECT_EQ(borrowed.runningCount, 4U) << "idle cells are lent";
+    Job& owner = submit("run-2", "red", 2);
+    settle({&w, &v});
+    EXPECT_EQ(owner.runningCount, 2U);
+    EXPECT_EQ(borrowed.runningCount, 2U) << "only one machine had to be given back";
+    EXPECT_EQ(owner.tasks[0].machine, owner.tasks[1].machine) << "tasks share the bound cell";
+}
+
+TEST_F(GuaranteesTest, BeyondTheReservationNothingIsTakenFromAnybody) {
+    start(machineFor("red"));
+    Worker w("n-1"), v("n-2");
+    settle({&w, &v});
+    Job& borrowed = submit("run-1", "blue", 4);
+    settle({&w, &v});
+    Job& owner = submit("run-2", "red", 4);
+    settle({&w, &v});
+    EXPECT_EQ(owner.runningCount, 2U);
+    EXPECT_EQ(borrowed.runningCount, 2U);
+}
+
+TEST_F(GuaranteesTest, AGuaranteeInCoresIsMetByAnyType) {
+    settings.teams = {{"red", 4, 0, 0, 0}, {"blue", 0, 0, 0, 0}};
+    start({});
+    Worker w("n-1");
+    settle({&w});
+    Job& borrowed = submit("run-1", "blue", 2);
+    settle({&w});
+    Job& owner = submit("run-2", "red", 2);
+    settle({&w});
+    EXPECT_EQ(owner.runningCount, 1U);
+    EXPECT_EQ(borrowed.runningCount, 1U);
+}
+
+TEST_F(GuaranteesTest, CellsComeBackWithTheLastTaskAndSurviveATakeOver) {
+    start(machineFor("red"));
+    Worker w("n-1"), v("n-2");
+    settle({&w, &v});
+    submit("run-1", "red", 2);
+    settle({&w, &v});
+    EXPECT_EQ(cluster->pools().at("box").bound("red", cells::Level::machine), 1U);
+    start(machineFor("red"), 2);
+    for (const auto& [k, data] : records) ASSERT_TRUE(cluster->load(k, data, clock.now(), clock.wall()));
+    cluster->loaded(clock.now());
+    settle({&w, &v});
+    Job& job = *cluster->find("run-1");
+    EXPECT_EQ(job.runningCount, 2U);
+    cluster->cancel(job);
+    commit();
+    settle({&w, &v});
+    EXPECT_EQ(cluster->pools().at("box").bound("red", cells::Level::machine), 0U);
+    EXPECT_EQ(cluster->pools().at("box").check(), "");
+}
+
+TEST_F(GuaranteesTest, WhatIsNotReservedIsSharedByWeight) {
+    settings::Operator own;
+    own.weights = {{"blue", 3.0}};
+    settings.teams = {{"red", 0, 0, 0, 0}, {"blue", 0, 0, 0, 0}};
+    start(own);
+    Worker w("n-1"), v("n-2"), x("n-3"), y("n-4");
+    settle({&w, &v, &x, &y});
+    Job& red = submit("run-1", "red", 20);
+    Job& blue = submit("run-2", "blue", 20);
+    settle({&w, &v, &x, &y});
+    EXPECT_EQ(red.boundCount, 2U);
+    EXPECT_EQ(blue.boundCount, 6U);
+}
+
+}  // namespace
+}  // namespace basaltchute::scheduler
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -142,14 +142,19 @@
     return true;
 }
 
+bool Cluster::placeable(const Job& job, MachineIndex machine, TimePoint now) const {
+    const Machine& m = machines_[machine];
+    if (!fresh(m, now) || m.sick || m.draining || m.recalledAt || now < m.avoidUntil) return false;
+    const auto failed = job.failedOn.find(machine);
+    return failed == job.failedOn.end() || now - failed->second >= 60s;
+}
+
 MachineIndex Cluster::pick(const Job& job, const Planned& planned, TimePoint now) const {
     MachineIndex best = noMachine;
     double bestCost = std::numeric_limits<double>::infinity();
     for (MachineIndex i = 0; i < machines_.size(); ++i) {
         const Machine& m = machines_[i];
-        if (!fresh(m, now) || m.sick || m.draining || m.recalledAt || now < m.avoidUntil) continue;
-        const auto failed = job.failedOn.find(i);
-        if (failed != job.failedOn.end() && now - failed->second < 60s) continue;
+        if (!placeable(job, i, now)) continue;
         Demand free = freeOn(m);
         if (const auto p = planned.find(i); p != planned.end()) subtract(free, p->second.demand);
         if (!fits(job.spec.demand, free)) continue;
@@ -161,6 +166,9 @@
         double cost = startDelay(job.spec, m);
         if (job.spec.spotAllowed && !m.spot) cost += 4;
         cost += (free.cores - job.spec.demand.cores) / std::max(whole.cores, 1.0);
+        // Low-priority work keeps away from guaranteed cells, which may grow into its room.
+        if (const auto pool = pools_.find(m.type); pool != pools_.end())
+            cost += 0.5 * (2 - pool->second.distance(i));
         if (cost < bestCost) {
             bestCost = cost;
             best = i;
@@ -169,6 +177,36 @@
     return best;
 }
 
+bool Cluster::makeRoom(const Job& job, MachineIndex machine,
+                       const std::function<bool(const Charge&)>& victim) {
+    Machine& m = machines_[machine];
+    Demand room = freeOn(m);
+    if (fits(job.spec.demand, room)) return true;
+    const auto take = [&](const Charge& c) {
+        room.cores += c.job->spec.demand.cores;
+        room.gpus += c.job->spec.demand.gpus;
+        room.ramGb += c.job->spec.demand.ramGb;
+    };
+    for (const auto& c : m.charges)
+        if (mustStop(c)) take(c);
+    std::vector<const Charge*> chosen;
+    for (const auto& c : m.charges) {
+        if (fits(job.spec.demand, room)) break;
+        if (mustStop(c) || !victim(c)) continue;
+        take(c);
+        chosen.push_back(&c);
+    }
+    if (!fits(job.spec.demand, room)) return false;
+    for (const auto* c : chosen) {
+        // A gang with a member gone does no work: the rest makes room as well.
+        if (c->job->spec.shape == Shape::gang)
+            for (auto& t : c->job->tasks) t.stopping = t.state == TaskState::bound;
+        c->job->tasks[c->task].stopping = true;
+    }
+    effects_.push.insert(machine);
+    return false;
+}
+
 void Cluster::preemptFor(const Job& job, TimePoint now) {
     // Choose the machine on which stopping the least recent work makes room.
     MachineIndex best = noMachine;
@@ -189,7 +227,7 @@
         std::vector<std::pair<double, std::size_t>> candidates;
         for (std::size_t k = 0; k < m.charges.size(); ++k) {
             const Charge& c = m.charges[k];
-            if (mustStop(c) || c.job->spec.priority <= job.spec.priority) continue;
+            if (mustStop(c) || !c.cells.empty() || c.job->spec.priority <= job.spec.priority) continue;
             const JobTask& t = c.job->tasks[c.task];
             const double ran = t.phase == Phase::running ? toSeconds(now - t.runningSince) : 0;
             const double lost = c.job->spec.checkpointS > 0 ? c.job->spec.saveS : ran;
@@ -260,7 +298,8 @@
         for (auto e = from; e != to; ++e) live.push_back(&*e);
         while (!live.empty()) {
             const auto least = std::min_element(live.begin(), live.end(), [&](Entry* a, Entry* b) {
-                return teamUse_[a->job->spec.team].cores < teamUse_[b->job->spec.team].cores;
+                return teamUse_[a->job->spec.team].cores / weightOf(a->job->spec.team) <
+                       teamUse_[b->job->spec.team].cores / weightOf(b->job->spec.team);
             });
             Entry& e = **least;
             Job& job = *e.job;
@@ -269,6 +308,9 @@
                 live.erase(least);
                 continue;
             }
+            if (job.spec.shape != Shape::gang && withinGuarantee(job) &&
+                placeGuaranteed(job, e.next, now))
+                continue;
             if (job.spec.shape == Shape::gang) {
                 if (!placeGang(job, now) && job.spec.priority != Priority::low) preemptFor(job, now);
                 live.erase(least);
--- /dev/null
+++ b/src/settings/operator.cpp
@@ -0,0 +1,96 @@
+#include "settings/operator.h"
+
+#include <rapidjson/schema.h>
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+#include "json/json.h"
+#include "operator_schema.h"
+
+namespace basaltchute::settings {
+
+namespace {
+
+cells::Level levelOf(const std::string& s) {
+    if (s == "machine") return cells::Level::machine;
+    return s == "zone" ? cells::Level::zone : cells::Level::slot;
+}
+
+std::string pointerText(const rapidjson::Pointer& p) {
+    rapidjson::StringBuffer b;
+    p.StringifyUriFragment(b);
+    return b.GetString();
+}
+
+}  // namespace
+
+std::variant<Operator, Error> parseOperator(const std::string& text, const Settings& settings) {
+    const auto doc = json::parse(text);
+    if (!doc) return Error("not JSON");
+    rapidjson::Document schemaText;
+    schemaText.Parse(operatorSchema);
+    const rapidjson::SchemaDocument schema(schemaText);
+    rapidjson::SchemaValidator validator(schema);
+    if (!doc->Accept(validator))
+        return pointerText(validator.GetInvalidDocumentPointer()) + ": breaks the schema's rule \"" +
+               validator.GetInvalidSchemaKeyword() + "\" at " +
+               pointerText(validator.GetInvalidSchemaPointer());
+    const auto knownTeam = [&](const std::string& name) {
+        return std::any_of(settings.teams.begin(), settings.teams.end(),
+                           [&](const auto& t) { return t.name == name; });
+    };
+    Operator out;
+    if (const auto* weights = json::find(*doc, "weights")) {
+        for (const auto& w : weights->GetObject()) {
+            if (!knownTeam(w.name.GetString()))
+                return std::string("#/weights/") + w.name.GetString() + ": expected a known team";
+            out.weights[w.name.GetString()] = w.value.GetDouble();
+        }
+    }
+    if (const auto n = json::count(*doc, "machinesPerZoneCell"))
+        out.machinesPerZoneCell = static_cast<std::uint32_t>(*n);
+    struct Room {
+        std::uint64_t machines = 0, slotsPerMachine = 1, slotsWanted = 0;
+    };
+    std::map<std::string, Room> rooms;
+    if (const auto* pools = json::array(*doc, "pools"))
+        for (const auto& p : pools->GetArray()) {
+            out.held[*json::string(p, "type")] = static_cast<std::uint32_t>(*json::count(p, "machines"));
+            rooms[*json::string(p, "type")] = {*json::count(p, "machines"),
+                                               *json::count(p, "slotsPerMachine"), 0};
+        }
+    unsigned i = 0;
+    if (const auto* reservations = json::array(*doc, "reservations")) {
+        for (const auto& r : reservations->GetArray()) {
+            const std::string at = "#/reservations/" + std::to_string(i++);
+            Reservation res{*json::string(r, "team"), *json::string(r, "type"),
+                            levelOf(*json::string(r, "level")),
+                            static_cast<std::uint32_t>(*json::count(r, "cells"))};
+            if (!knownTeam(res.team)) return at + "/team: expected a known team";
+            const auto room = rooms.find(res.type);
+            if (room == rooms.end()) return at + "/type: expected a type named in pools";
+            const std::uint64_t perCell =
+                res.level == cells::Level::slot ? 1
+                : res.level == cells::Level::machine
+                    ? room->second.slotsPerMachine
+                    : room->second.slotsPerMachine * out.machinesPerZoneCell;
+            room->second.slotsWanted += perCell * res.cells;
+            if (room->second.slotsWanted > room->second.machines * room->second.slotsPerMachine)
+                return at + "/cells: expected reservations that the pool's machines can hold";
+            out.reservations.push_back(std::move(res));
+        }
+    }
+    return out;
+}
+
+std::variant<Operator, Error> loadOperator(const std::string& path, const Settings& settings) {
+    std::ifstream file(path);
+    if (!file) return Error("cannot be read");
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parseOperator(text.str(), settings);
+}
+
+}  // namespace basaltchute::settings
--- a/src/workers/machine.h
+++ b/src/workers/machine.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "cells/cells.h"
 #include "workers/report.h"
 
 namespace basaltchute::workers {
@@ -27,6 +28,8 @@
     bool ghost = false;          // on the machine, but not where its task belongs
     bool stopSent = false;
     TimePoint boundAt{};
+    std::vector<cells::CellIndex> cells;  // of its team's reservation; none: low priority
+    std::uint32_t lowSlots = 0;           // counted in the low-priority view
 };
 
 enum class Presence { expected, up, gone };
