Keep leading through an outage that every node pledges for; reach state through peers

While no node reaches the state service and all others pledge not to campaign, the leader answers beats and polls. Recalled machines save as late as they can and are given up once silent.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -14,6 +14,8 @@
 
 const std::string jobsPath = "/v1/jobs";
 const std::string beatPath = "/agent/beat";
+constexpr Duration pledgePatience = 500ms;
+constexpr Duration statePatience = 500ms;  // on behalf of a peer
 constexpr Duration relayPatience = 3s;  // a worker drops what comes after 4 s
 
 http::Response plain(int status, const char* body) {
@@ -62,21 +64,45 @@
                        const auto reign = std::exchange(reign_, nullptr);
                        mesh_.announce();
                        co_await reign->end();
+                   },
+                   [this](Token token, Duration hold) -> Task<bool> {
+                       const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(hold);
+                       const mesh::Pledge pledge{token, ms};
+                       const bool all = co_await mesh_.pledgeAll(pledge, pledgePatience, scope_);
+                       co_return all;
+                   },
+                   [this] {
+                       return std::all_of(settings_.peers.begin(), settings_.peers.end(),
+                                          [&](const auto& p) { return idlePeers_.contains(p.name); });
                    }}),
       mesh_(loop, settings_,
             {[this] {
                  return mesh::Hello{settings_.node, leadership_.mayAct(), leadership_.token()};
              },
-             [this](const LeaderHint& hint) {
+             [this](const mesh::Hello& hello) {
+                 if (!hello.leading) {
+                     idlePeers_.insert(hello.node);
+                     return;
+                 }
+                 idlePeers_.erase(hello.node);
                  leaderSeen_ = loop_.now();
-                 leadership_.heard(hint);
+                 leadership_.heard({hello.node, hello.token});
              },
-             [this](http::Request r) { return lead(std::move(r)); }}),
+             [this](mesh::Purpose purpose, http::Request r) {
+                 return purpose == mesh::Purpose::leader ? lead(std::move(r))
+                                                         : stateFor(std::move(r));
+             },
+             [this](const mesh::Pledge& p) { return leadership_.pledge(p.token, p.hold); }}),
       server_(loop, settings_.listen,
               http::ServerLimits{settings_.sockets > 400 ? settings_.sockets - 200
                                                          : settings_.sockets / 2},
               [this](http::Request r) { return handle(std::move(r)); }),
-      leaderSeen_(loop.now()) {}
+      leaderSeen_(loop.now()) {
+    if (settings_.peers.empty()) return;
+    state_.setRelay([this](http::Request r, Duration patience, Scope& scope) {
+        return mesh_.viaPeers(std::move(r), patience, scope);
+    });
+}
 
 void Controller::start() {
     mesh_.start(scope_);
@@ -139,6 +165,12 @@
     co_return std::move(o.response);
 }
 
+Task<http::Response> Controller::stateFor(http::Request r) {
+    auto o = co_await state_.direct(std::move(r), statePatience, scope_);
+    if (!o.answered) co_return plain(502, "{}");
+    co_return std::move(o.response);
+}
+
 Task<http::Response> Controller::lead(http::Request r) {
     const auto reign = reign_;  // held: it may be deposed while the request waits
     if (!reign || !reign->ready()) co_return noLeader();
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -1,5 +1,6 @@
 #pragma once
 #include <memory>
+#include <set>
 
 #include "app/reign.h"
 #include "http/server.h"
@@ -18,6 +19,7 @@
   private:
     Task<http::Response> handle(http::Request request);
     Task<http::Response> users(http::Request request);
+    Task<http::Response> stateFor(http::Request request);
     Task<http::Response> lead(http::Request request);
     Task<http::Response> beat(http::Request request);
     http::Response up();
@@ -32,6 +34,7 @@
     mesh::Mesh mesh_;
     http::Server server_;
     std::shared_ptr<Reign> reign_;
+    std::set<std::string> idlePeers_;  // said since this node started that they do not lead
     TimePoint leaderSeen_;
 };
 
--- a/src/app/controller_test.cpp
+++ b/src/app/controller_test.cpp
@@ -31,7 +31,8 @@
         Loop loop(clock);
         return Listener(loop, "127.0.0.1:0").address();
     }
-    void start(std::size_t count) {
+    /// `absent` peers are in the settings but never answer.
+    void start(std::size_t count, std::size_t absent = 0) {
         for (std::size_t i = 0; i < count; ++i) {
             auto n = std::make_unique<Node>();
             n->settings = testing::someSettings();
@@ -47,6 +48,9 @@
                 if (n != other)
                     n->settings.peers.push_back(
                         {other->settings.node, "a", other->settings.meshListen});
+        for (auto& n : nodes)
+            for (std::size_t i = 0; i < absent; ++i)
+                n->settings.peers.push_back({"gone-" + std::to_string(i), "a", "127.0.0.1:1"});
         for (auto& n : nodes) {
             n->controller = std::make_unique<Controller>(world.loop, n->settings,
                                                          settings::Operator{}, "first");
@@ -154,8 +158,58 @@
     EXPECT_NE(o.response.status, 200) << "the worker would drop it and lose its lease";
 }
 
-TEST_F(ControllerTest, TheRightToActEndsBeforeTheGrantCan) {
+TEST_F(ControllerTest, AnOutageThatAllNodesPledgeForKeepsTheLeaderActing) {
+    // An outage of 19 s once outlasted leases of 16 s, and every replica was killed.
+    start(3);
+    state.down = true;
+    const auto beat = [](unsigned tick) {
+        return R"({"host":"n-1","addr":"127.0.0.1:1","rigKind":"box","hall":"a","loaners":false,"stint":1,"tick":)" +
+               std::to_string(tick) + R"(,"baton":1,"recallS":null,"splits":[]})";
+    };
+    for (unsigned s = 1; s <= 25; ++s) {
+        world.run(1s);
+        EXPECT_EQ(ask(s % 3, "POST", "/agent/beat", beat(s)).response.status, 200) << s << " s";
+    }
+    EXPECT_EQ(ask(0, "POST", "/v1/jobs", testing::submission("run-1")).response.status, 503);
+    state.down = false;
+    world.run(2s);
+    EXPECT_EQ(state.keys.at("lead/token").data, R"({"token":1})") << "nobody had to take over";
+    EXPECT_NE(ask(0, "POST", "/v1/jobs", testing::submission("run-1")).response.status, 503);
+}
+
+TEST_F(ControllerTest, ANodeThatPledgedDoesNotCampaignUntilItsWordHasEnded) {
     start(1);
+    state::Client client(world.loop, nodes[0]->settings);
+    Scope scope(world.loop);
+    bool elected = false;
+    auto settings = nodes[0]->settings;
+    settings.node = "rig-9";
+    Leadership other(world.loop, client, settings, "x",
+                     {[&](Token, state::Guard) { elected = true; },
+                      []() -> Task<void> { co_return; },
+                      [](Token, Duration) -> Task<bool> { co_return false; }, [] { return false; }});
+    scope.spawn(other.run(scope));
+    world.run(5s);
+    EXPECT_TRUE(other.pledge(1, 3s));
+    EXPECT_FALSE(other.pledge(1, 1h)) << "longer than a restarted node would wait";
+    bool left = false;
+    world.scope.spawn(stop(*nodes[0]->controller, left));  // the leader's key is free now
+    world.until([&] { return left; });
+    nodes.clear();
+    world.run(2500ms);
+    EXPECT_FALSE(elected);
+    world.run(1500ms);
+    EXPECT_TRUE(elected);
+    bool done = false;
+    world.scope.spawn([](Scope& s, bool& flag) -> Task<void> {
+        co_await s.end();
+        flag = true;
+    }(scope, done));
+    world.until([&] { return done; });
+}
+
+TEST_F(ControllerTest, TheRightToActEndsBeforeTheGrantCan) {
+    start(1, 1);  // the other node cannot pledge
     const Duration life = Leadership::lifeFor(nodes[0]->settings);
     state.down = true;
     const TimePoint from = world.clock.now();
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -225,6 +225,11 @@
     for (const auto& m : cluster_.machines()) {
         if (!m.up()) continue;
         ++up;
+        // Announced to be taken, and silent since: it is.
+        if (m.recalledAt && now > *m.recalledAt + s.reportEvery && now - m.heardAt > s.reportEvery * 2) {
+            dead_.insert(m.name);
+            continue;
+        }
         // Waiting for its lease would leave its tasks down for longer than this takes.
         if (now - m.heardAt > patience && !m.charges.empty() && m.leaseEnd - now > worthDeleting)
             silent.push_back(&m);
--- a/src/leadership/leadership.cpp
+++ b/src/leadership/leadership.cpp
@@ -16,6 +16,7 @@
 const std::string holderKey = "lead/holder";
 const std::string tokenKey = "lead/token";
 constexpr Duration margin = 120ms;
+constexpr Duration pledgeHold = 3s;
 }  // namespace
 
 Leadership::Leadership(Loop& loop, state::Client& client, const settings::Settings& s,
@@ -26,7 +27,8 @@
       incarnation_(std::move(incarnation)),
       life_(lifeFor(s)),
       hooks_(std::move(hooks)),
-      changed_(loop) {}
+      changed_(loop),
+      startedAt_(loop.now()) {}
 
 Duration Leadership::lifeFor(const settings::Settings& s) {
     // Short for quick take-over, long enough to sit out a slow answer or two; and a displaced
@@ -36,8 +38,24 @@
     return std::clamp(std::min(byLease, byCancel), Duration(2s), Duration(3s));
 }
 
-void Leadership::extend(TimePoint sentAt) {
-    rightUntil_ = sentAt + life_ - life_ / 1000 - margin;
+void Leadership::extend(TimePoint sentAt, Duration life) {
+    if (resign_) return;
+    rightUntil_ = std::max(rightUntil_, sentAt + life - life / 1000 - margin);
+}
+
+bool Leadership::pledge(Token token, Duration hold) {
+    // Not while a campaign of this node may already be on its way, and only for the newest leader.
+    if (leading_ || campaigning_ || hold > pledgeHold || (known_ && known_->token > token)) return false;
+    pledgedUntil_ = std::max(pledgedUntil_, loop_.now() + hold + hold / 1000);
+    return true;
+}
+
+bool Leadership::mayCampaign() const {
+    // A node that has just started remembers no pledge: it waits as long as one could last,
+    // unless every other node has told it that there is no leader to have pledged to.
+    const bool remembers = loop_.now() >= startedAt_ + pledgeHold + pledgeHold / 1000 ||
+                           hooks_.nobodyLeads();
+    return remembers && loop_.now() >= pledgedUntil_;
 }
 
 void Leadership::heard(const LeaderHint& hint) {
@@ -98,6 +116,17 @@
 }
 
 Task<bool> Leadership::campaign(Scope& scope) {
+    if (!mayCampaign()) {
+        co_await loop_.sleep(50ms, scope);
+        co_return false;
+    }
+    campaigning_ = true;
+    const bool won = co_await tryCampaign(scope);
+    campaigning_ = false;
+    co_return won;
+}
+
+Task<bool> Leadership::tryCampaign(Scope& scope) {
     const state::Found last = co_await client_.get(tokenKey, scope);
     if (last.verdict != Verdict::ok && last.verdict != Verdict::notFound) co_return false;
     Token next = 1;
@@ -130,13 +159,14 @@
     token_ = next;
     grant_ = grant.id;
     holder_ = won.revision;
-    extend(grant.sentAt);
+    rightUntil_ = TimePoint{};
+    resign_ = false;
+    extend(grant.sentAt, life_);
     co_return true;
 }
 
 Task<void> Leadership::lead(Scope& scope) {
     leading_ = true;
-    resign_ = false;
     known_ = LeaderHint{node_, token_};
     spdlog::info("leading with token {}", token_);
     hooks_.elected(token_, state::Guard{holderKey, holder_});
@@ -146,7 +176,16 @@
         if (resign_ || scope.cancelled() || loop_.now() >= rightUntil_) break;
         const state::Granted touched = co_await client_.touch(grant_, scope);
         stateAnswers_ = touched.verdict == Verdict::ok;
-        if (touched.verdict == Verdict::ok) extend(touched.sentAt);
+        if (touched.verdict == Verdict::ok) {
+            extend(touched.sentAt, life_);
+        } else if (touched.verdict != Verdict::notFound) {
+            // No node reaches the state service. While every other one pledges not to campaign,
+            // nobody can lead but this one: the workers' leases live on through the outage.
+            const TimePoint askedAt = loop_.now();
+            const bool all = co_await hooks_.pledgeAll(token_, pledgeHold);
+            // A right that has lapsed stays lapsed: others may have been told so meanwhile.
+            if (all && loop_.now() < rightUntil_) extend(askedAt, pledgeHold);
+        }
         if (touched.verdict == Verdict::notFound) stepDown("the grant has ended");
         pause = touched.verdict == Verdict::ok ? life_ / 5 : Duration(100ms);
     }
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -21,7 +21,11 @@
     struct Hooks {
         std::function<void(Token, state::Guard)> elected;
         std::function<Task<void>()> deposed;  // ends every duty of the leader before returning
-    };
+        /// Asks every other node not to campaign for a while; true if all agree.
+        std::function<Task<bool>(Token, Duration hold)> pledgeAll;
+        /// Every other node has said, since this one started, that it does not lead.
+        std::function<bool()> nobodyLeads;
+        };
     Leadership(Loop& loop, state::Client& client, const settings::Settings& settings,
                std::string incarnation, Hooks hooks);
     Task<void> run(Scope& scope);
@@ -34,6 +38,8 @@
     /// The state service answered this node recently.
     [[nodiscard]] bool stateAnswers() const { return stateAnswers_; }
     void heard(const LeaderHint& hint);
+    /// A leader that nobody can replace asks to go on; true if this node will not campaign.
+    bool pledge(Token token, Duration hold);
     void stepDown(const std::string& why);
     /// Steps down for good: this node is ending.
     void retire();
@@ -42,8 +48,10 @@
   private:
     Task<void> follow(Scope& scope);
     Task<bool> campaign(Scope& scope);
+    Task<bool> tryCampaign(Scope& scope);
     Task<void> lead(Scope& scope);
-    void extend(TimePoint sentAt);
+    void extend(TimePoint sentAt, Duration life);
+    [[nodiscard]] bool mayCampaign() const;
 
     Loop& loop_;
     state::Client& client_;
@@ -56,6 +64,8 @@
     state::GrantId grant_ = 0;
     state::Revision holder_ = 0;
     TimePoint rightUntil_{};
+    TimePoint startedAt_, pledgedUntil_{};
+    bool campaigning_ = false;
     std::optional<LeaderHint> known_;
 };
 
--- a/src/mesh/mesh.capnp
+++ b/src/mesh/mesh.capnp
@@ -8,6 +8,7 @@
     hello @0 :Hello;
     request @1 :Request;
     reply @2 :Reply;
+    pledge @3 :Pledge;
   }
 }
 
@@ -18,12 +19,27 @@
   token @2 :UInt64;
 }
 
-# A user's or worker's request passed on to the leader.
+# Asks the receiver not to campaign for a while: no node reaches the state service, and the
+# leader's right may be stretched only if every other node agrees. Answered by a Reply.
+struct Pledge {
+  id @0 :UInt64;
+  token @1 :UInt64;
+  holdMs @2 :UInt32;
+}
+
+# A user's or worker's request passed on to the leader, or a request to the state service from
+# a node that cannot reach it itself.
 struct Request {
   id @0 :UInt64;
   method @1 :Text;
   target @2 :Text;
   body @3 :Data;
+  purpose @4 :Purpose;
+
+  enum Purpose {
+    leader @0;
+    stateService @1;
+  }
 }
 
 struct Reply {
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -5,6 +5,7 @@
 #include <spdlog/spdlog.h>
 
 #include <cstring>
+#include <vector>
 
 #include "mesh/mesh.capnp.h"
 
@@ -44,6 +45,13 @@
         r.setMethod(m.request->method.c_str());
         r.setTarget(m.request->target.c_str());
         r.setBody(bytes(m.request->body));
+        r.setPurpose(m.purpose == Purpose::stateService ? wire::Request::Purpose::STATE_SERVICE
+                                                        : wire::Request::Purpose::LEADER);
+    } else if (m.pledge) {
+        auto p = frame.initPledge();
+        p.setId(m.id);
+        p.setToken(m.pledge->token);
+        p.setHoldMs(static_cast<std::uint32_t>(m.pledge->hold.count()));
     } else if (m.reply) {
         auto r = frame.initReply();
         r.setId(m.id);
@@ -81,6 +89,12 @@
             const auto r = frame.getRequest();
             into.id = r.getId();
             into.request = http::Request{text(r.getMethod()), text(r.getTarget()), text(r.getBody())};
+            if (r.getPurpose() == wire::Request::Purpose::STATE_SERVICE)
+                into.purpose = Purpose::stateService;
+        } else if (frame.isPledge()) {
+            const auto p = frame.getPledge();
+            into.id = p.getId();
+            into.pledge = Pledge{p.getToken(), std::chrono::milliseconds(p.getHoldMs())};
         } else if (frame.isReply()) {
             const auto r = frame.getReply();
             into.id = r.getId();
@@ -111,7 +125,7 @@
 }
 
 void Mesh::announce() {
-    for (auto& [node, link] : links_) say(*link, Message{hooks_.hello(), {}, {}, 0});
+    for (auto& [node, link] : links_) sayHello(*link);
 }
 
 void Mesh::say(Link& link, const Message& message) {
@@ -119,6 +133,12 @@
     link.wake.notify();
 }
 
+void Mesh::sayHello(Link& link) {
+    Message m;
+    m.hello = hooks_.hello();
+    say(link, m);
+}
+
 Task<void> Mesh::flush(std::shared_ptr<Link> link, Scope& scope) {
     while (!link->broken && !scope.cancelled()) {
         if (link->out.empty()) {
@@ -133,7 +153,7 @@
 
 Task<void> Mesh::greet(std::shared_ptr<Link> link, Scope& scope) {
     while (!link->broken && !scope.cancelled()) {
-        say(*link, Message{hooks_.hello(), {}, {}, 0});
+        sayHello(*link);
         co_await loop_.sleep(helloEvery, scope);
     }
 }
@@ -161,7 +181,7 @@
                     it->second->response = std::move(*m.reply);
                     it->second->done.notify();
                 }
-                if (m.hello && m.hello->leading) hooks_.heard({m.hello->node, m.hello->token});
+                if (m.hello) hooks_.heard(*m.hello);
                 continue;
             }
             // The other side greets back, so silence means that it cannot be reached.
@@ -198,8 +218,8 @@
         const Decoded d = decode(data, m);
         if (d == Decoded::broken) break;
         if (d == Decoded::message) {
-            if (m.hello && m.hello->leading) hooks_.heard({m.hello->node, m.hello->token});
-            if (m.request) scope.spawn(answer(link, m.id, std::move(*m.request)));
+            if (m.hello) hooks_.heard(*m.hello);
+            if (m.request || m.pledge) scope.spawn(answer(link, std::move(m)));
             continue;
         }
         const long n = co_await link->socket->read(data, loop_.now() + silence, scope);
@@ -209,32 +229,36 @@
     link->wake.notify();
 }
 
-Task<void> Mesh::answer(std::shared_ptr<Link> link, std::uint64_t id, http::Request request) {
-    http::Response response = co_await hooks_.serve(std::move(request));
+Task<void> Mesh::answer(std::shared_ptr<Link> link, Message asked) {
     Message m;
-    m.id = id;
-    m.reply = std::move(response);
+    m.id = asked.id;
+    if (asked.pledge) {
+        m.reply = http::Response{hooks_.pledge(*asked.pledge) ? 200 : 409, ""};
+    } else {
+        http::Response response = co_await hooks_.serve(asked.purpose, std::move(*asked.request));
+        m.reply = std::move(response);
+    }
     if (!link->broken) say(*link, m);
 }
 
-Task<http::Outcome> Mesh::forward(std::string node, http::Request request, Duration patience,
-                                  Scope& scope) {
-    http::Outcome out;
+std::shared_ptr<Mesh::Pending> Mesh::post(const std::string& node, Message message) {
     const auto it = links_.find(node);
-    if (it == links_.end() || it->second->broken) co_return out;
+    if (it == links_.end() || it->second->broken) return nullptr;
     auto pending = std::make_shared<Pending>(loop_);
     pending->node = node;
-    const std::uint64_t id = nextId_++;
-    pending_[id] = pending;
-    Message m;
-    m.id = id;
-    m.request = std::move(request);
-    say(*it->second, m);
+    pending->id = message.id = nextId_++;
+    pending_[pending->id] = pending;
+    say(*it->second, message);
+    return pending;
+}
+
+Task<http::Outcome> Mesh::await(std::shared_ptr<Pending> pending, TimePoint until, Scope& scope) {
+    http::Outcome out;
+    if (!pending) co_return out;
     out.sent = true;
-    const TimePoint until = loop_.now() + patience;
     while (!pending->response && !pending->lost && loop_.now() < until && !scope.cancelled())
         co_await loop_.wait(pending->done, until, scope);
-    pending_.erase(id);
+    pending_.erase(pending->id);
     if (pending->response) {
         out.answered = true;
         out.response = std::move(*pending->response);
@@ -242,4 +266,43 @@
     co_return out;
 }
 
+Task<http::Outcome> Mesh::forward(std::string node, http::Request request, Duration patience,
+                                  Scope& scope, Purpose purpose) {
+    Message m;
+    m.request = std::move(request);
+    m.purpose = purpose;
+    auto pending = post(node, std::move(m));
+    auto out = co_await await(pending, loop_.now() + patience, scope);
+    co_return out;
+}
+
+Task<bool> Mesh::pledgeAll(Pledge pledge, Duration patience, Scope& scope) {
+    const TimePoint until = loop_.now() + patience;
+    std::vector<std::shared_ptr<Pending>> asked;
+    for (const auto& p : peers_) {
+        Message m;
+        m.pledge = pledge;
+        asked.push_back(post(p.name, std::move(m)));
+    }
+    bool all = true;
+    for (auto& pending : asked) {
+        const auto o = co_await await(pending, until, scope);
+        all = all && o.answered && o.response.status == 200;
+    }
+    co_return all;
+}
+
+Task<http::Outcome> Mesh::viaPeers(http::Request request, Duration patience, Scope& scope) {
+    http::Outcome last;
+    for (const auto& p : peers_) {
+        if (!connected(p.name)) continue;
+        http::Request copy = request;
+        auto o = co_await forward(p.name, std::move(copy), patience, scope, Purpose::stateService);
+        // 502: that node did not get an answer either.
+        if (o.answered && o.response.status != 503 && o.response.status != 502) co_return o;
+        last.sent = last.sent || o.sent;
+    }
+    co_return last;
+}
+
 }  // namespace basaltchute::mesh
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -19,11 +19,18 @@
     bool leading = false;
     Token token = 0;
 };
+enum class Purpose { leader, stateService };
+struct Pledge {
+    Token token = 0;
+    std::chrono::milliseconds hold{};
+};
 struct Message {
     std::optional<Hello> hello;
     std::optional<http::Request> request;
     std::optional<http::Response> reply;
     std::uint64_t id = 0;
+    Purpose purpose = Purpose::leader;
+    std::optional<Pledge> pledge;
 };
 std::string encode(const Message& message);
 enum class Decoded { needMore, message, broken };
@@ -35,13 +42,18 @@
   public:
     struct Hooks {
         std::function<Hello()> hello;
-        std::function<void(const LeaderHint&)> heard;
-        std::function<Task<http::Response>(http::Request)> serve;
+        std::function<void(const Hello&)> heard;
+        std::function<Task<http::Response>(Purpose, http::Request)> serve;
+        std::function<bool(const Pledge&)> pledge;
     };
     Mesh(Loop& loop, const settings::Settings& settings, Hooks hooks);
     void start(Scope& scope);
     Task<http::Outcome> forward(std::string node, http::Request request, Duration patience,
-                                Scope& scope);
+                                Scope& scope, Purpose purpose = Purpose::leader);
+    /// True only if every other node pledges in time.
+    Task<bool> pledgeAll(Pledge pledge, Duration patience, Scope& scope);
+    /// Through whichever other node reaches the state service.
+    Task<http::Outcome> viaPeers(http::Request request, Duration patience, Scope& scope);
     [[nodiscard]] bool connected(const std::string& node) const;
     /// Tells every peer at once that something about this node has changed.
     void announce();
@@ -59,15 +71,19 @@
         Event done;
         std::optional<http::Response> response;
         bool lost = false;
+        std::uint64_t id = 0;
         std::string node;
     };
     Task<void> dial(settings::Peer peer, Scope& scope);
     Task<void> acceptAll(Scope& scope);
     Task<void> serve(std::shared_ptr<Link> link, Scope& scope);
-    Task<void> answer(std::shared_ptr<Link> link, std::uint64_t id, http::Request request);
+    Task<void> answer(std::shared_ptr<Link> link, Message message);
+    std::shared_ptr<Pending> post(const std::string& node, Message message);
+    Task<http::Outcome> await(std::shared_ptr<Pending> pending, TimePoint until, Scope& scope);
     Task<void> flush(std::shared_ptr<Link> link, Scope& scope);
     Task<void> greet(std::shared_ptr<Link> link, Scope& scope);
     void say(Link& link, const Message& message);
+    void sayHello(Link& link);
 
     Loop& loop_;
     std::string listen_;
--- a/src/mesh/mesh_test.cpp
+++ b/src/mesh/mesh_test.cpp
@@ -9,7 +9,9 @@
     Message m;
     m.id = 7;
     m.request = http::Request{"POST", "/v1/jobs", std::string(5000, 'x')};
-    const std::string wire = encode(m) + encode(Message{Hello{"rig-1", true, 9}, {}, {}, 0});
+    Message greeting;
+    greeting.hello = Hello{"rig-1", true, 9};
+    const std::string wire = encode(m) + encode(greeting);
     std::string data;
     std::vector<Message> got;
     for (const char c : wire) {
--- a/src/scheduler/cluster.cpp
+++ b/src/scheduler/cluster.cpp
@@ -23,6 +23,7 @@
 
 namespace {
 constexpr Duration leaseMargin = 500ms;
+constexpr Duration recallMargin = 2500ms;
 constexpr std::size_t maxOrders = 300;  // an answer is one line of at most 64 KiB
 
 /// The longest a worker may still hold a lease that was renewed at `t` by our clock.
@@ -234,9 +235,23 @@
     if (cells::Pool* pool = poolOf(m)) pool->removeMachine(machine);
 }
 
+void Cluster::saveBeforeRecall(MachineIndex machine, TimePoint now) {
+    Machine& m = machines_[machine];
+    for (const auto& c : m.charges) {
+        JobTask& task = c.job->tasks[c.task];
+        const JobSpec& spec = c.job->spec;
+        if (!owns(c, machine) || task.stopping || spec.checkpointS <= 0) continue;
+        // As late as the save allows: the task may still finish.
+        if (*m.recalledAt - now > fromSeconds(spec.saveS) + recallMargin) continue;
+        task.stopping = true;
+        effects_.push.insert(machine);
+    }
+}
+
 void Cluster::expire(TimePoint now) {
     for (MachineIndex i = 0; i < machines_.size(); ++i) {
         Machine& m = machines_[i];
+        if (m.up() && m.recalledAt) saveBeforeRecall(i, now);
         if (m.presence == Presence::gone || m.charges.empty() || now < m.leaseEnd) continue;
         // Nobody can have renewed it: the worker has killed everything and begun a new session,
         // which also fences direct orders that are still under way.
--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -78,6 +78,7 @@
               std::vector<cells::CellIndex> cells = {});
     void finish(Job& job, std::uint32_t task);
     void unbind(Job& job, std::uint32_t task);
+    void saveBeforeRecall(MachineIndex machine, TimePoint now);
     bool owns(const workers::Charge& c, MachineIndex machine) const;
     void release(MachineIndex machine, std::size_t charge);
     void releaseAll(MachineIndex machine);
--- a/src/scheduler/cluster_test.cpp
+++ b/src/scheduler/cluster_test.cpp
@@ -389,6 +389,24 @@
     EXPECT_EQ(batch.boundCount, 4U);
 }
 
+TEST_F(ClusterTest, ATaskOnARecalledMachineSavesAsLateAsItCan) {
+    Worker w("n-1");
+    JobSpec s = testing::spec("run-1");
+    s.checkpointS = 10;
+    s.saveS = 4;
+    running(w, s);
+    w.report.notice = 15s;
+    beat(w);
+    cluster->expire(clock.now());
+    EXPECT_TRUE(beat(w).empty()) << "it may still finish";
+    clock.advance(9s);
+    w.report.notice = 6s;
+    cluster->expire(clock.now());
+    const auto orders = beat(w);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_GE(orders[0].grace, 4s);
+}
+
 TEST_F(ClusterTest, AMachineThatFailsSeveralJobsGetsNoMoreWork) {
     Worker w("n-1");
     exchange(w);
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr Duration patience = 1500ms;
+constexpr Duration relayPatience = 700ms;
+constexpr Duration avoidDirect = 2s;
 
 Verdict verdictOf(const http::Outcome& o) {
     if (!o.answered) return o.sent ? Verdict::unknown : Verdict::refused;
@@ -50,6 +52,28 @@
       writes_(s.stateWriteRps * 0.95, s.stateWriteRps * 0.9, loop.now()) {}
 
 Task<http::Outcome> Client::send(http::Request request, Duration wait, Scope& scope) {
+    // A refusal that only this node gets, or a cut that only it suffers, looks like an outage:
+    // a peer may still reach the service.
+    const bool tryDirect = !relay_ || loop_.now() >= directBadUntil_;
+    http::Outcome first;
+    if (tryDirect) {
+        http::Request copy = request;
+        first = co_await direct(std::move(copy), wait, scope);
+        const bool served = first.answered && first.response.status != 503;
+        if (served || !relay_ || scope.cancelled()) co_return first;
+        directBadUntil_ = loop_.now() + avoidDirect;
+    }
+    auto relayed = co_await relay_(std::move(request), relayPatience, scope);
+    if (!relayed.answered) {
+        directBadUntil_ = TimePoint{};
+        // It may have been executed by either way.
+        relayed.sent = relayed.sent || (first.sent && !first.answered);
+        if (first.answered && !relayed.sent) co_return first;
+    }
+    co_return relayed;
+}
+
+Task<http::Outcome> Client::direct(http::Request request, Duration wait, Scope& scope) {
     while (!requests_.take(loop_.now())) {
         const Wake woke = co_await loop_.sleep(requests_.until(loop_.now()), scope);
         if (woke == Wake::cancelled) co_return http::Outcome{};
@@ -171,7 +195,7 @@
                           "/watch?under=" + prefix + "&after=" + std::to_string(after) +
                               "&waitMs=" + std::to_string(ms),
                           ""};
-    auto o = co_await send(std::move(request), wait + 2s, scope);
+    auto o = co_await direct(std::move(request), wait + 2s, scope);
     co_return verdictOf(o);
 }
 
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -1,4 +1,5 @@
 #pragma once
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -68,12 +69,19 @@
     /// Ends when something under the prefix changes after `after`, or after `patience`.
     Task<Verdict> watch(std::string prefix, Revision after, Duration patience, Scope& scope);
     [[nodiscard]] Budget& writes() { return writes_; }
+    /// How to reach the service when this node cannot: through a peer.
+    using Relay = std::function<Task<http::Outcome>(http::Request, Duration, Scope&)>;
+    void setRelay(Relay relay) { relay_ = std::move(relay); }
+    /// For a peer that cannot reach the service: this node's own way only.
+    Task<http::Outcome> direct(http::Request request, Duration patience, Scope& scope);
 
   private:
     Task<http::Outcome> send(http::Request request, Duration patience, Scope& scope);
     Loop& loop_;
     http::Client http_;
     Budget requests_, writes_;
+    Relay relay_;
+    TimePoint directBadUntil_{};
 };
 
 }  // namespace basaltchute::state
