Halve the time without a leader after a crash; one formatting throughout

Cause: submissions in the 2.7-3 s between a leader's end and its grant's are refused. A grant of 1.6 s, touched five times in its life, costs 3 requests a second. Pledges keep a slow state service from ending it falsely.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -16,7 +16,7 @@
 const std::string beatPath = "/agent/beat";
 constexpr Duration pledgePatience = 500ms;
 constexpr Duration statePatience = 500ms;  // on behalf of a peer
-constexpr Duration relayPatience = 3s;  // a worker drops what comes after 4 s
+constexpr Duration relayPatience = 3s;     // a worker drops what comes after 4 s
 
 http::Response plain(int status, const char* body) {
     return {status, body};
@@ -39,15 +39,16 @@
     if (!path.starts_with(jobsPath + '/')) return {};
     const std::string rest = path.substr(jobsPath.size() + 1);
     const auto slash = rest.find('/');
-    if (slash == std::string::npos) return {r.method == "GET" ? Verb::query : Verb::wrongMethod, rest};
+    if (slash == std::string::npos)
+        return {r.method == "GET" ? Verb::query : Verb::wrongMethod, rest};
     if (rest.substr(slash) != "/withdraw") return {};
     return {r.method == "POST" ? Verb::withdraw : Verb::wrongMethod, rest.substr(0, slash)};
 }
 
 }  // namespace
 
-Controller::Controller(Loop& loop, settings::Settings settings,
-                       settings::Operator operatorSettings, std::string incarnation)
+Controller::Controller(Loop& loop, settings::Settings settings, settings::Operator operatorSettings,
+                       std::string incarnation)
     : loop_(loop),
       settings_(std::move(settings)),
       operator_(std::move(operatorSettings)),
@@ -72,8 +73,9 @@
                        co_return all;
                    },
                    [this] {
-                       return std::all_of(settings_.peers.begin(), settings_.peers.end(),
-                                          [&](const auto& p) { return idlePeers_.contains(p.name); });
+                       return std::all_of(
+                           settings_.peers.begin(), settings_.peers.end(),
+                           [&](const auto& p) { return idlePeers_.contains(p.name); });
                    }}),
       mesh_(loop, settings_,
             {[this] {
@@ -151,7 +153,8 @@
             co_return http::Response{400, o.text()};
         }
     } else if (!jobs::validId(call.id)) {
-        co_return plain(call.verb == UserCall::Verb::query ? 404 : 400, R"({"error":"not a job id"})");
+        co_return plain(call.verb == UserCall::Verb::query ? 404 : 400,
+                        R"({"error":"not a job id"})");
     }
     if (reign_) {
         auto response = co_await lead(std::move(r));
@@ -186,10 +189,17 @@
     const UserCall call = parseCall(r);
     http::Response response = noLeader();
     switch (call.verb) {
-        case UserCall::Verb::submit: response = co_await reign->submit(std::move(r.body)); break;
-        case UserCall::Verb::query: response = co_await reign->query(call.id); break;
-        case UserCall::Verb::withdraw: response = co_await reign->withdraw(call.id); break;
-        default: co_return plain(404, "{}");
+        case UserCall::Verb::submit:
+            response = co_await reign->submit(std::move(r.body));
+            break;
+        case UserCall::Verb::query:
+            response = co_await reign->query(call.id);
+            break;
+        case UserCall::Verb::withdraw:
+            response = co_await reign->withdraw(call.id);
+            break;
+        default:
+            co_return plain(404, "{}");
     }
     if (!leadership_.mayAct()) co_return noLeader();
     co_return response;
@@ -245,7 +255,8 @@
         for (const auto& [type, pool] : c.pools()) {
             o.key(type).open();
             o.field("freeZones", static_cast<std::uint64_t>(pool.freeCells(cells::Level::zone)));
-            o.field("freeMachines", static_cast<std::uint64_t>(pool.freeCells(cells::Level::machine)));
+            o.field("freeMachines",
+                    static_cast<std::uint64_t>(pool.freeCells(cells::Level::machine)));
             o.field("freeSlots", static_cast<std::uint64_t>(pool.freeCells(cells::Level::slot)));
             o.close();
         }
--- a/src/app/controller_test.cpp
+++ b/src/app/controller_test.cpp
@@ -102,7 +102,9 @@
     EXPECT_EQ(ask(2, "GET", "/v1/jobs/run-1").response.status, 200);
     EXPECT_EQ(ask(2, "GET", "/v1/jobs/run-2").response.status, 404);
     EXPECT_EQ(ask(0, "POST", "/v1/jobs", "{").response.status, 400);
-    EXPECT_EQ(ask(1, "POST", "/v1/jobs", testing::submission("run-3", R"(,"crew2":1)")).response.status, 201);
+    EXPECT_EQ(
+        ask(1, "POST", "/v1/jobs", testing::submission("run-3", R"(,"crew2":1)")).response.status,
+        201);
     EXPECT_EQ(ask(1, "PUT", "/v1/jobs").response.status, 405);
     EXPECT_EQ(ask(1, "GET", "/nowhere").response.status, 404);
     EXPECT_EQ(ask(1, "POST", "/status").response.status, 405);
@@ -184,10 +186,10 @@
     bool elected = false;
     auto settings = nodes[0]->settings;
     settings.node = "rig-9";
-    Leadership other(world.loop, client, settings, "x",
-                     {[&](Token, state::Guard) { elected = true; },
-                      []() -> Task<void> { co_return; },
-                      [](Token, Duration) -> Task<bool> { co_return false; }, [] { return false; }});
+    Leadership other(
+        world.loop, client, settings, "x",
+        {[&](Token, state::Guard) { elected = true; }, []() -> Task<void> { co_return; },
+         [](Token, Duration) -> Task<bool> { co_return false; }, [] { return false; }});
     scope.spawn(other.run(scope));
     world.run(5s);
     EXPECT_TRUE(other.pledge(1, 3s));
@@ -230,7 +232,9 @@
     Scope scope(world.loop);
     bool fenced = false, committed = false;
     state::Writer writer(world.loop, client, 20, state::Guard{"lead/holder", 1},
-                         {[](const std::string&) { return state::Encoded{"{}", 1}; },
+                         {[](const std::string&) {
+                              return state::Encoded{"{}", 1};
+                          },
                           [&](const std::string&, std::uint64_t) { committed = true; }, [] {},
                           [&] { fenced = true; }});
     scope.spawn(writer.run(scope));
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -81,8 +81,8 @@
         basaltchute::Scope scope(loop);
         std::random_device random;
         const std::string incarnation = std::to_string(random()) + std::to_string(random());
-        basaltchute::app::Controller controller(
-            loop, platform, std::move(operatorSettings), incarnation);
+        basaltchute::app::Controller controller(loop, platform, std::move(operatorSettings),
+                                                incarnation);
         controller.start();
         loop.spawn(waitForEnd(loop, scope, controller));
         loop.run();
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -155,7 +155,8 @@
             if (result.answer == fleet::Cloud::Answer::ok)
                 fleet_.rented(rent, result.names, loop_.now());
             else
-                fleet_.rentFailed(rent, result.answer == fleet::Cloud::Answer::refused, loop_.now());
+                fleet_.rentFailed(rent, result.answer == fleet::Cloud::Answer::refused,
+                                  loop_.now());
         }
         co_await loop_.sleep(1s, scope_);
     }
@@ -191,13 +192,15 @@
     if (job == nullptr) {
         if (cluster_.catalogue().empty()) co_return later();
         switch (cluster_.submit(spec, loop_.now(), loop_.clock().wall())) {
-            case scheduler::Submitted::unknownTeam: co_return refuse(422, "unknown team");
+            case scheduler::Submitted::unknownTeam:
+                co_return refuse(422, "unknown team");
             case scheduler::Submitted::fitsNowhere:
                 co_return refuse(422, "a task fits no allowed machine type");
             case scheduler::Submitted::overLimit:
                 co_return refuse(422, "the job needs more than its team's limit");
             case scheduler::Submitted::known:
-            case scheduler::Submitted::fresh: break;
+            case scheduler::Submitted::fresh:
+                break;
         }
         job = cluster_.find(spec.id);
         fresh = true;
--- a/src/app/reign.h
+++ b/src/app/reign.h
@@ -15,8 +15,9 @@
 /// Requests that wait on it hold it, so it outlives its duties but never acts after them.
 class Reign {
   public:
-    Reign(Loop& loop, const settings::Settings& settings, const settings::Operator& operatorSettings,
-          state::Client& state, Leadership& leadership, state::Guard guard);
+    Reign(Loop& loop, const settings::Settings& settings,
+          const settings::Operator& operatorSettings, state::Client& state, Leadership& leadership,
+          state::Guard guard);
     void start();
     Task<void> end() { return scope_.end(); }
     [[nodiscard]] bool ready() const { return loaded_ && leadership_.mayAct(); }
--- a/src/cells/cells.cpp
+++ b/src/cells/cells.cpp
@@ -216,9 +216,8 @@
 void Pool::mergeUp(CellIndex c) {
     for (CellIndex p = cells_[c].parent; p != none; p = cells_[p].parent) {
         const auto& buddies = cells_[p].children;
-        const bool whole = std::all_of(buddies.begin(), buddies.end(), [&](CellIndex b) {
-            return cells_[b].state == State::free;
-        });
+        const bool whole = std::all_of(buddies.begin(), buddies.end(),
+                                       [&](CellIndex b) { return cells_[b].state == State::free; });
         if (!whole) return;
         for (const CellIndex b : buddies) {
             unlist(b);
@@ -227,7 +226,8 @@
         }
         if (cells_[p].level == Level::machine) cells_[p].children.clear();
         setFree(p);
-        if (cells_[p].parent == none && cells_[p].level == Level::machine) groupZone(cells_[p].zone);
+        if (cells_[p].parent == none && cells_[p].level == Level::machine)
+            groupZone(cells_[p].zone);
     }
     if (cells_[c].level == Level::machine && cells_[c].parent == none &&
         cells_[c].state == State::free)
@@ -242,9 +242,12 @@
 }
 std::uint32_t Pool::slotsOf(CellIndex c) const {
     switch (cells_[c].level) {
-        case Level::slot: return 1;
-        case Level::machine: return shape_.slotsPerMachine;
-        case Level::zone: break;
+        case Level::slot:
+            return 1;
+        case Level::machine:
+            return shape_.slotsPerMachine;
+        case Level::zone:
+            break;
     }
     return shape_.slotsPerMachine * shape_.machinesPerZone;
 }
@@ -277,19 +280,23 @@
         for (const auto& [low, c] : free_[l]) {
             if (cells_[c].state != State::free) return "a listed cell is not free";
             if (cells_[c].low != low) return "a free list is out of date";
-            if (static_cast<std::size_t>(cells_[c].level) != l) return "a cell is on the wrong list";
+            if (static_cast<std::size_t>(cells_[c].level) != l)
+                return "a cell is on the wrong list";
             for (CellIndex p = cells_[c].parent; p != none; p = cells_[p].parent)
-                if (cells_[p].state != State::split) return "a free cell lies in one that is not split";
+                if (cells_[p].state != State::split)
+                    return "a free cell lies in one that is not split";
         }
     }
     std::uint64_t slots = 0;
     for (std::size_t l = 0; l < levels; ++l)
         for (const auto& f : free_[l]) slots += slotsOf(f.second);
     for (const auto& [key, n] : bound_)
-        slots += std::uint64_t{n} * (key.second == Level::slot      ? 1
-                                     : key.second == Level::machine ? shape_.slotsPerMachine
-                                                                    : shape_.slotsPerMachine * shape_.machinesPerZone);
-    if (slots != byMachine_.size() * shape_.slotsPerMachine) return "slots are lost or counted twice";
+        slots += std::uint64_t{n} * (key.second == Level::slot ? 1
+                                     : key.second == Level::machine
+                                         ? shape_.slotsPerMachine
+                                         : shape_.slotsPerMachine * shape_.machinesPerZone);
+    if (slots != byMachine_.size() * shape_.slotsPerMachine)
+        return "slots are lost or counted twice";
     return "";
 }
 
--- a/src/cells/cells.h
+++ b/src/cells/cells.h
@@ -89,9 +89,10 @@
     void groupZone(const std::string& zone);
     void dissolve(CellIndex zoneCell);
     void count(CellIndex c, int low, int bound);
-    [[nodiscard]] bool anyUsable(CellIndex c, const std::function<bool(MachineIndex)>& usable) const;
-    [[nodiscard]] std::optional<CellIndex> best(Level l, Level want,
-                                                const std::function<bool(MachineIndex)>& usable) const;
+    [[nodiscard]] bool anyUsable(CellIndex c,
+                                 const std::function<bool(MachineIndex)>& usable) const;
+    [[nodiscard]] std::optional<CellIndex> best(
+        Level l, Level want, const std::function<bool(MachineIndex)>& usable) const;
 
     Shape shape_;
     std::vector<Cell> cells_;
--- a/src/cells/cells_test.cpp
+++ b/src/cells/cells_test.cpp
@@ -81,7 +81,8 @@
 TEST(Cells, ALegalRequestNeverFailsInAFeasibleReservation) {
     for (unsigned seed = 1; seed <= 40; ++seed) {
         std::mt19937 rng(seed);
-        const Shape shape{2 + static_cast<std::uint32_t>(rng() % 5), 2 + static_cast<std::uint32_t>(rng() % 2)};
+        const Shape shape{2 + static_cast<std::uint32_t>(rng() % 5),
+                          2 + static_cast<std::uint32_t>(rng() % 2)};
         Pool p(shape);
         const std::uint32_t perZone = shape.machinesPerZone * 2;
         for (MachineIndex i = 0; i < perZone * 2; ++i) p.addMachine(i, i < perZone ? "a" : "b");
--- a/src/fleet/cloud.cpp
+++ b/src/fleet/cloud.cpp
@@ -53,7 +53,8 @@
     std::vector<Listed> all;
     std::string after;
     while (true) {
-        http::Request request{"GET", "/hosts?page=500" + (after.empty() ? "" : "&after=" + after), ""};
+        http::Request request{"GET", "/hosts?page=500" + (after.empty() ? "" : "&after=" + after),
+                              ""};
         auto o = co_await send(std::move(request), scope);
         if (!o.answered || o.response.status != 200) co_return std::nullopt;
         const auto doc = json::parse(o.response.body);
@@ -111,7 +112,7 @@
     out.closeArray().close();
     http::Request request{"POST", "/hosts/delete", out.text()};
     auto o = co_await send(std::move(request), scope);
-    co_return o.answered && o.response.status == 200;
+    co_return o.answered&& o.response.status == 200;
 }
 
 }  // namespace basaltchute::fleet
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -15,9 +15,9 @@
 constexpr Duration refusalPause = 15s;
 constexpr std::size_t maxComing = 24;
 constexpr Duration rise = 6s, fall = 40s;  // of the target for classes whose starts may wait
-constexpr double warmMargin = 4;       // of a warm class's peak: jobs come in bursts
-constexpr Duration worthDeleting = 10s;  // of a silent machine's lease still to run
-constexpr Duration spareHold = 30s;    // how long an idle machine beyond the target is kept
+constexpr double warmMargin = 4;           // of a warm class's peak: jobs come in bursts
+constexpr Duration worthDeleting = 10s;    // of a silent machine's lease still to run
+constexpr Duration spareHold = 30s;        // how long an idle machine beyond the target is kept
 }  // namespace
 
 void Fleet::listed(const std::vector<Listed>& all, TimePoint now) {
@@ -86,15 +86,15 @@
     target_ = {};
     warm_ = false;
     for (auto& [name, c] : classes_) {
-        c.warm = std::any_of(cluster_.settings().objectives.begin(),
-                             cluster_.settings().objectives.end(), [&](const auto& o) {
-                                 return o.jobClass == name && o.kind != "deadline";
-                             });
+        c.warm = std::any_of(
+            cluster_.settings().objectives.begin(), cluster_.settings().objectives.end(),
+            [&](const auto& o) { return o.jobClass == name && o.kind != "deadline"; });
         c.smooth += (c.now - c.smooth) * (c.now > c.smooth ? up : down);
         c.peak = std::max(c.peak, c.now);
         warm_ = warm_ || (c.warm && c.spotAllowed);
         double want = c.smooth;
-        if (c.warm && c.spotAllowed) want = cluster_.openJobs().empty() ? 0 : c.peak * warmMargin + c.largestJob;
+        if (c.warm && c.spotAllowed)
+            want = cluster_.openJobs().empty() ? 0 : c.peak * warmMargin + c.largestJob;
         // Services: what runs, and room for a few more at once.
         if (c.warm && !c.spotAllowed) want = c.now * 1.1 + 4 * c.largestJob;
         (c.spotAllowed ? target_.spot : target_.ordinary) += want;
@@ -226,7 +226,8 @@
         if (!m.up()) continue;
         ++up;
         // Announced to be taken, and silent since: it is.
-        if (m.recalledAt && now > *m.recalledAt + s.reportEvery && now - m.heardAt > s.reportEvery * 2) {
+        if (m.recalledAt && now > *m.recalledAt + s.reportEvery &&
+            now - m.heardAt > s.reportEvery * 2) {
             dead_.insert(m.name);
             continue;
         }
@@ -269,7 +270,8 @@
         std::uint32_t n = ordinaryOf(name);
         for (const auto& zone : t.zones) {
             const Pool pool{name, zone, false};
-            if (n >= heldOf(name) || unsettled_.contains(pool) || refusedUntil_[pool] > now) continue;
+            if (n >= heldOf(name) || unsettled_.contains(pool) || refusedUntil_[pool] > now)
+                continue;
             plan.rent.push_back({nextBooking(), name, zone, false, std::min(4U, heldOf(name) - n)});
             n += plan.rent.back().count;
         }
@@ -281,8 +283,10 @@
     // they do not, spot machines replace them and the ordinary ones go back.
     const double lack = target_.spot - have.spot - (warm_ ? spare : 0);
     const double left = rentFor(lack, Kind::spot, now, plan);
-    if (warm_) rentFor(left, Kind::ordinaryForSpotWork, now, plan);
-    else if (left > 0) rentFor(ordinaryForSpot(have) - spare, Kind::ordinaryForSpotWork, now, plan);
+    if (warm_)
+        rentFor(left, Kind::ordinaryForSpotWork, now, plan);
+    else if (left > 0)
+        rentFor(ordinaryForSpot(have) - spare, Kind::ordinaryForSpotWork, now, plan);
 }
 
 std::string Fleet::nextBooking() {
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -128,10 +128,11 @@
 }
 
 std::string serialize(const Response& r) {
-    std::string out = "HTTP/1.1 " + std::to_string(r.status) + ' ' +
-                      http_status_str(static_cast<http_status>(r.status)) +
-                      "\r\nContent-Type: application/json\r\nContent-Length: " +
-                      std::to_string(r.body.size()) + "\r\n";
+    std::string out =
+        "HTTP/1.1 " + std::to_string(r.status) + ' ' +
+        http_status_str(static_cast<http_status>(r.status)) +
+        "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(r.body.size()) +
+        "\r\n";
     if (r.retryAfterS > 0) out += "Retry-After: " + std::to_string(r.retryAfterS) + "\r\n";
     if (!r.keepAlive) out += "Connection: close\r\n";
     return out + "\r\n" + r.body;
@@ -139,8 +140,9 @@
 std::string serialize(const Request& r, const std::string& host) {
     std::string out = r.method + ' ' + r.target + " HTTP/1.1\r\nHost: " + host + "\r\n";
     if (!r.body.empty() || r.method == "POST")
-        out += "Content-Type: application/json\r\nContent-Length: " + std::to_string(r.body.size()) +
-               "\r\n";
+        out +=
+            "Content-Type: application/json\r\nContent-Length: " + std::to_string(r.body.size()) +
+            "\r\n";
     return out + "\r\n" + r.body;
 }
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -16,8 +16,8 @@
         auto socket = co_await listener_.accept(scope);
         if (!socket) break;
         if (open_.size() >= limits_.connections) {
-            const auto idle = std::find_if(open_.begin(), open_.end(),
-                                           [](const auto& c) { return c->idle; });
+            const auto idle =
+                std::find_if(open_.begin(), open_.end(), [](const auto& c) { return c->idle; });
             if (idle == open_.end()) continue;  // everyone is being served: refuse this one
             (*idle)->scope.cancel();
         }
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -59,18 +59,24 @@
     s.jobClass = f.text("category");
     s.team = f.text("crew");
     const std::string shape = f.text("shape");
-    const auto named = std::find_if(shapes.begin(), shapes.end(),
-                                    [&](const auto& e) { return shape == e.first; });
-    if (named == shapes.end()) f.fail("shape");
-    else s.shape = named->second;
+    const auto named =
+        std::find_if(shapes.begin(), shapes.end(), [&](const auto& e) { return shape == e.first; });
+    if (named == shapes.end())
+        f.fail("shape");
+    else
+        s.shape = named->second;
     const std::string rank = f.text("rank");
     const auto p = std::find_if(priorities.begin(), priorities.end(),
                                 [&](const auto& e) { return rank == e.first; });
-    if (p == priorities.end()) f.fail("rank");
-    else s.priority = p->second;
+    if (p == priorities.end())
+        f.fail("rank");
+    else
+        s.priority = p->second;
     const auto tasks = json::count(v, "splits");
-    if (!tasks || *tasks == 0 || *tasks > maxTasks) f.fail("splits");
-    else s.tasks = static_cast<std::uint32_t>(*tasks);
+    if (!tasks || *tasks == 0 || *tasks > maxTasks)
+        f.fail("splits");
+    else
+        s.tasks = static_cast<std::uint32_t>(*tasks);
     s.demand = {f.amount("cores"), f.amount("gpus"), f.amount("ramGb")};
     s.image = f.text("build");
     s.imageGb = f.amount("sizeGb");
@@ -81,8 +87,10 @@
         } else {
             s.types.emplace();
             for (const auto& r : rigs->GetArray()) {
-                if (!r.IsString()) f.fail("rigs");
-                else s.types->emplace_back(r.GetString());
+                if (!r.IsString())
+                    f.fail("rigs");
+                else
+                    s.types->emplace_back(r.GetString());
             }
         }
     }
@@ -154,7 +162,8 @@
 std::unique_ptr<Job> makeJob(JobSpec spec, std::size_t valueBytes) {
     auto job = std::make_unique<Job>();
     // A quarter of the first record is left for the job's description.
-    job->tasksPerRecord = static_cast<std::uint32_t>(std::max<std::size_t>(16, valueBytes * 3 / 4 / bytesPerTask));
+    job->tasksPerRecord =
+        static_cast<std::uint32_t>(std::max<std::size_t>(16, valueBytes * 3 / 4 / bytesPerTask));
     job->tasks.resize(spec.tasks);
     job->records.resize((spec.tasks + job->tasksPerRecord - 1) / job->tasksPerRecord);
     job->spec = std::move(spec);
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -49,7 +49,7 @@
     TaskState state = TaskState::waiting;
     Phase phase = Phase::binding;
     bool guaranteed = false;  // in cells of its team's reservation
-    bool stopping = false;  // told to stop: by preemption, draining or cancellation
+    bool stopping = false;    // told to stop: by preemption, draining or cancellation
     MachineIndex machine = noMachine;
     Attempt attempt = 0;
     TimePoint runningSince{};
--- a/src/json/json.cpp
+++ b/src/json/json.cpp
@@ -13,8 +13,10 @@
     for (std::size_t i = 0; i < text.size(); ++i) {
         const char c = text[i];
         if (inString) {
-            if (c == '\\') ++i;
-            else if (c == '"') inString = false;
+            if (c == '\\')
+                ++i;
+            else if (c == '"')
+                inString = false;
         } else if (c == '"') {
             inString = true;
         } else if (c == '{' || c == '[') {
@@ -32,7 +34,7 @@
     if (tooDeep(text)) return std::nullopt;
     Document d;
     d.Parse<rapidjson::kParseIterativeFlag | rapidjson::kParseValidateEncodingFlag>(text.data(),
-                                                                                   text.size());
+                                                                                    text.size());
     if (d.HasParseError()) return std::nullopt;
     return d;
 }
--- a/src/leadership/leadership.cpp
+++ b/src/leadership/leadership.cpp
@@ -35,7 +35,7 @@
     // leader's last answer plus a whole lease must end before a cancellation's time is up.
     const Duration byLease = s.lease / 6;
     const Duration byCancel = (s.cancelWithin - s.lease) / 4;
-    return std::clamp(std::min(byLease, byCancel), Duration(2s), Duration(3s));
+    return std::clamp(std::min(byLease, byCancel), Duration(1s), Duration(1600ms));
 }
 
 void Leadership::extend(TimePoint sentAt, Duration life) {
@@ -45,7 +45,8 @@
 
 bool Leadership::pledge(Token token, Duration hold) {
     // Not while a campaign of this node may already be on its way, and only for the newest leader.
-    if (leading_ || campaigning_ || hold > pledgeHold || (known_ && known_->token > token)) return false;
+    if (leading_ || campaigning_ || hold > pledgeHold || (known_ && known_->token > token))
+        return false;
     pledgedUntil_ = std::max(pledgedUntil_, loop_.now() + hold + hold / 1000);
     return true;
 }
@@ -53,8 +54,8 @@
 bool Leadership::mayCampaign() const {
     // A node that has just started remembers no pledge: it waits as long as one could last,
     // unless every other node has told it that there is no leader to have pledged to.
-    const bool remembers = loop_.now() >= startedAt_ + pledgeHold + pledgeHold / 1000 ||
-                           hooks_.nobodyLeads();
+    const bool remembers =
+        loop_.now() >= startedAt_ + pledgeHold + pledgeHold / 1000 || hooks_.nobodyLeads();
     return remembers && loop_.now() >= pledgedUntil_;
 }
 
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -25,7 +25,7 @@
         std::function<Task<bool>(Token, Duration hold)> pledgeAll;
         /// Every other node has said, since this one started, that it does not lead.
         std::function<bool()> nobodyLeads;
-        };
+    };
     Leadership(Loop& loop, state::Client& client, const settings::Settings& settings,
                std::string incarnation, Hooks hooks);
     Task<void> run(Scope& scope);
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -88,7 +88,8 @@
         } else if (frame.isRequest()) {
             const auto r = frame.getRequest();
             into.id = r.getId();
-            into.request = http::Request{text(r.getMethod()), text(r.getTarget()), text(r.getBody())};
+            into.request =
+                http::Request{text(r.getMethod()), text(r.getTarget()), text(r.getBody())};
             if (r.getPurpose() == wire::Request::Purpose::STATE_SERVICE)
                 into.purpose = Purpose::stateService;
         } else if (frame.isPledge()) {
@@ -111,7 +112,11 @@
 }
 
 Mesh::Mesh(Loop& loop, const settings::Settings& s, Hooks hooks)
-    : loop_(loop), listen_(s.meshListen), peers_(s.peers), hooks_(std::move(hooks)), changed_(loop) {}
+    : loop_(loop),
+      listen_(s.meshListen),
+      peers_(s.peers),
+      hooks_(std::move(hooks)),
+      changed_(loop) {}
 
 void Mesh::start(Scope& scope) {
     listener_ = std::make_unique<Listener>(loop_, listen_);
--- a/src/mesh/mesh_test.cpp
+++ b/src/mesh/mesh_test.cpp
@@ -30,7 +30,10 @@
     Message out;
     std::string huge("\xff\xff\xff\x7f", 4);
     EXPECT_EQ(decode(huge, out), Decoded::broken);
-    std::string odd("\x03\x00\x00\x00" "abc", 7);
+    std::string odd(
+        "\x03\x00\x00\x00"
+        "abc",
+        7);
     EXPECT_EQ(decode(odd, out), Decoded::broken);
     std::string noise = std::string("\x10\x00\x00\x00", 4) + std::string(16, '\xee');
     EXPECT_EQ(decode(noise, out), Decoded::broken);
--- a/src/runtime/loop.cpp
+++ b/src/runtime/loop.cpp
@@ -139,8 +139,10 @@
     fireTimers();
     bool busy = !ready_.empty();
     runReady();
-    if (!ready_.empty()) most = Duration::zero();
-    else if (!timers_.empty()) most = std::clamp(timers_.begin()->first - now(), Duration::zero(), most);
+    if (!ready_.empty())
+        most = Duration::zero();
+    else if (!timers_.empty())
+        most = std::clamp(timers_.begin()->first - now(), Duration::zero(), most);
     const auto timeout = std::chrono::ceil<std::chrono::milliseconds>(most).count();
     const int n = epoll_wait(epoll_, events.data(), static_cast<int>(events.size()),
                              static_cast<int>(timeout));
--- a/src/runtime/loop.h
+++ b/src/runtime/loop.h
@@ -106,7 +106,9 @@
         void await_suspend(std::coroutine_handle<> h);
         Wake await_resume() const { return waiter.result; }
     };
-    Wait wait(Event& event, TimePoint until, Scope& scope) { return {*this, &event, until, &scope}; }
+    Wait wait(Event& event, TimePoint until, Scope& scope) {
+        return {*this, &event, until, &scope};
+    }
     Wait sleep(Duration d, Scope& scope) { return {*this, nullptr, now() + d, &scope}; }
 
     void post(std::coroutine_handle<> h) { ready_.push_back(h); }
--- a/src/runtime/socket.cpp
+++ b/src/runtime/socket.cpp
@@ -132,7 +132,8 @@
         if (errno == EINTR || errno == ECONNABORTED) continue;
         // Out of sockets: edge-triggered readiness will not come again, so look again shortly.
         const bool dry = errno == EAGAIN || errno == EWOULDBLOCK;
-        const TimePoint until = dry ? TimePoint::max() : loop_.now() + std::chrono::milliseconds(50);
+        const TimePoint until =
+            dry ? TimePoint::max() : loop_.now() + std::chrono::milliseconds(50);
         const Wake woke = co_await loop_.wait(acceptable_, until, scope);
         if (woke == Wake::cancelled) co_return nullptr;
     }
--- a/src/scheduler/cluster.cpp
+++ b/src/scheduler/cluster.cpp
@@ -48,7 +48,8 @@
     effects_.dirty.emplace_back(jobs::recordKey(job.spec.id, r), urgency);
 }
 
-bool Cluster::load(const std::string& key, const std::string& data, TimePoint now, WallMillis wall) {
+bool Cluster::load(const std::string& key, const std::string& data, TimePoint now,
+                   WallMillis wall) {
     return jobs::decodeRecord(
         key, data, settings_.valueBytes, [&](const JobId& id) { return find(id); },
         [&](std::unique_ptr<Job> job) {
@@ -303,7 +304,8 @@
     if (t.cause == ExitCause::done && job->spec.shape != Shape::service) {
         const JobTask& task = job->tasks[t.task];
         const double ran = toSeconds(now - task.runningSince);
-        if (task.state == TaskState::bound && task.attempt == 1 && job->spec.estimateS > 0 && ran > 0) {
+        if (task.state == TaskState::bound && task.attempt == 1 && job->spec.estimateS > 0 &&
+            ran > 0) {
             // Owners' estimates are off in the same direction for most of a day.
             double& bias = bias_[job->spec.jobClass];
             bias += 0.1 * (std::clamp(std::log(ran / job->spec.estimateS), -2.0, 2.0) - bias);
@@ -322,11 +324,16 @@
         case ExitCause::error:
             if (mine) failed(m, machine, *job, now);
             break;
-        case ExitCause::full: m.avoidUntil = now + 2s; break;
+        case ExitCause::full:
+            m.avoidUntil = now + 2s;
+            break;
         case ExitCause::busy:
-        case ExitCause::noSuch: job->notBefore = now + 1s; break;
+        case ExitCause::noSuch:
+            job->notBefore = now + 1s;
+            break;
         case ExitCause::stopped:
-        case ExitCause::other: break;
+        case ExitCause::other:
+            break;
     }
     release(machine, static_cast<std::size_t>(c - m.charges.begin()));
 }
@@ -461,8 +468,7 @@
             out.push_back({Verb::forget, t.job, t.task, t.attempt, {}});
         }
     }
-    for (const auto& t : m.strangers)
-        out.push_back({Verb::stop, t.job, t.task, t.attempt, {}});
+    for (const auto& t : m.strangers) out.push_back({Verb::stop, t.job, t.task, t.attempt, {}});
     for (auto& c : m.charges) {
         if (out.size() >= maxOrders) break;
         const JobSpec& spec = c.job->spec;
--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -97,9 +97,9 @@
     void enterPool(MachineIndex machine);
     void chargeCells(workers::Charge& c, MachineIndex machine);
     void freeCells(const workers::Charge& c, MachineIndex machine);
-    std::optional<std::vector<cells::CellIndex>> cellsOn(cells::Pool& pool, const std::string& team,
-                                                         std::uint32_t slots,
-                                                         const std::function<bool(MachineIndex)>& usable);
+    std::optional<std::vector<cells::CellIndex>> cellsOn(
+        cells::Pool& pool, const std::string& team, std::uint32_t slots,
+        const std::function<bool(MachineIndex)>& usable);
     [[nodiscard]] bool withinGuarantee(const Job& job) const;
     bool placeGuaranteed(Job& job, std::uint32_t task, TimePoint now);
     [[nodiscard]] double weightOf(const std::string& team) const;
@@ -149,8 +149,8 @@
     std::map<std::pair<std::string, cells::CellIndex>, Shared> shared_;
     std::unordered_map<std::string, Demand> guaranteedUse_;
     std::unordered_map<std::string, Demand> teamUse_;  // of everything possibly running
-    std::map<std::string, WarmClass> warm_;  // found anew in every pass
-    std::unordered_map<std::string, double> bias_;  // log of run time over estimate, by class
+    std::map<std::string, WarmClass> warm_;            // found anew in every pass
+    std::unordered_map<std::string, double> bias_;     // log of run time over estimate, by class
     Effects effects_;
 };
 
--- a/src/scheduler/cluster_test.cpp
+++ b/src/scheduler/cluster_test.cpp
@@ -52,9 +52,7 @@
         commit();
         return *cluster->find(spec.id);
     }
-    void place() {
-        cluster->place(clock.now());
-    }
+    void place() { cluster->place(clock.now()); }
     /// Submits, places and launches on `w` so that every task runs there.
     Job& running(Worker& w, const JobSpec& spec) {
         exchange(w);
--- a/src/scheduler/guarantees.cpp
+++ b/src/scheduler/guarantees.cpp
@@ -28,7 +28,8 @@
         for (const auto& t : settings_.teams) {
             const double cores = type.capacity.gpus >= 1 ? t.gpus : t.cores;
             const auto more = static_cast<std::uint32_t>(std::floor(cores));
-            if (more > 0) pool.reserve(t.name, Level::slot, pool.reserved(t.name, Level::slot) + more);
+            if (more > 0)
+                pool.reserve(t.name, Level::slot, pool.reserved(t.name, Level::slot) + more);
         }
         for (MachineIndex i = 0; i < machines_.size(); ++i)
             if (machines_[i].up() && machines_[i].type == name) enterPool(i);
@@ -45,7 +46,9 @@
     const auto pool = pools_.find(type);
     if (t == catalogue_.end() || pool == pools_.end()) return 0;
     const double slots = pool->second.slotsPerMachine();
-    const auto share = [&](double need, double whole) { return whole > 0 ? need * slots / whole : 0.0; };
+    const auto share = [&](double need, double whole) {
+        return whole > 0 ? need * slots / whole : 0.0;
+    };
     const Demand& whole = t->second.capacity;
     const double n = std::max({share(s.demand.cores, whole.cores), share(s.demand.gpus, whole.gpus),
                                share(s.demand.ramGb, whole.ramGb), 1.0});
@@ -112,9 +115,8 @@
     const std::function<bool(MachineIndex)>& usable) {
     std::set<MachineIndex> tooSmall;
     while (true) {
-        const auto first = pool.bind(team, Level::slot, [&](MachineIndex m) {
-            return !tooSmall.contains(m) && usable(m);
-        });
+        const auto first = pool.bind(
+            team, Level::slot, [&](MachineIndex m) { return !tooSmall.contains(m) && usable(m); });
         if (!first) return std::nullopt;
         // The slots of one task lie on one machine.
         const MachineIndex machine = pool.machinesOf(*first).front();
--- a/src/scheduler/guarantees_test.cpp
+++ b/src/scheduler/guarantees_test.cpp
@@ -102,7 +102,8 @@
     settle({&w, &v});
     EXPECT_EQ(cluster->pools().at("box").bound("red", cells::Level::machine), 1U);
     start(machineFor("red"), 2);
-    for (const auto& [k, data] : records) ASSERT_TRUE(cluster->load(k, data, clock.now(), clock.wall()));
+    for (const auto& [k, data] : records)
+        ASSERT_TRUE(cluster->load(k, data, clock.now(), clock.wall()));
     cluster->loaded(clock.now());
     settle({&w, &v});
     Job& job = *cluster->find("run-1");
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -73,13 +73,17 @@
     for (const auto& other : machines_) {
         for (const auto& c : other.charges) {
             if (c.job != &job) continue;
-            if (other.zone == m.zone) ++here;
-            else if (s.oneZone) return false;
+            if (other.zone == m.zone)
+                ++here;
+            else if (s.oneZone)
+                return false;
         }
     }
     for (const auto& [index, share] : planned) {
-        if (machines_[index].zone == m.zone) here += share.tasks;
-        else if (s.oneZone && share.tasks > 0) return false;
+        if (machines_[index].zone == m.zone)
+            here += share.tasks;
+        else if (s.oneZone && share.tasks > 0)
+            return false;
     }
     return !s.spread || here < (s.tasks + 1) / 2;
 }
@@ -110,10 +114,9 @@
     for (const Job* job : open_) {
         const JobSpec& s = job->spec;
         if (s.spotAllowed || s.shape != Shape::service) continue;
-        const bool hurried = std::any_of(settings_.objectives.begin(), settings_.objectives.end(),
-                                         [&](const auto& o) {
-                                             return o.kind == "wait" && o.jobClass == s.jobClass;
-                                         });
+        const bool hurried = std::any_of(
+            settings_.objectives.begin(), settings_.objectives.end(),
+            [&](const auto& o) { return o.kind == "wait" && o.jobClass == s.jobClass; });
         if (!hurried) continue;
         WarmClass& w = warm_[s.jobClass];
         w.sample = job;
@@ -214,7 +217,8 @@
     double bestLoss = std::numeric_limits<double>::infinity();
     for (MachineIndex i = 0; i < machines_.size(); ++i) {
         const Machine& m = machines_[i];
-        if (!fresh(m, now) || m.sick || m.draining || m.recalledAt || !allowed(job, m, {})) continue;
+        if (!fresh(m, now) || m.sick || m.draining || m.recalledAt || !allowed(job, m, {}))
+            continue;
         Demand room = freeOn(m);
         const auto take = [&](const Charge& c) {
             room.cores += c.job->spec.demand.cores;
@@ -227,7 +231,8 @@
         std::vector<std::pair<double, std::size_t>> candidates;
         for (std::size_t k = 0; k < m.charges.size(); ++k) {
             const Charge& c = m.charges[k];
-            if (mustStop(c) || !c.cells.empty() || c.job->spec.priority <= job.spec.priority) continue;
+            if (mustStop(c) || !c.cells.empty() || c.job->spec.priority <= job.spec.priority)
+                continue;
             const JobTask& t = c.job->tasks[c.task];
             const double ran = t.phase == Phase::running ? toSeconds(now - t.runningSince) : 0;
             const double lost = c.job->spec.checkpointS > 0 ? c.job->spec.saveS : ran;
@@ -265,7 +270,8 @@
         const MachineIndex m = pick(job, planned, now);
         if (m == noMachine) return false;
         Share& share = planned[m];
-        subtract(share.demand, {-job.spec.demand.cores, -job.spec.demand.gpus, -job.spec.demand.ramGb});
+        subtract(share.demand,
+                 {-job.spec.demand.cores, -job.spec.demand.gpus, -job.spec.demand.ramGb});
         ++share.tasks;
         chosen.emplace_back(t, m);
     }
@@ -303,7 +309,8 @@
             });
             Entry& e = **least;
             Job& job = *e.job;
-            while (e.next < job.spec.tasks && job.tasks[e.next].state != TaskState::waiting) ++e.next;
+            while (e.next < job.spec.tasks && job.tasks[e.next].state != TaskState::waiting)
+                ++e.next;
             if (e.next >= job.spec.tasks || !withinLimit(job)) {
                 live.erase(least);
                 continue;
@@ -312,7 +319,8 @@
                 placeGuaranteed(job, e.next, now))
                 continue;
             if (job.spec.shape == Shape::gang) {
-                if (!placeGang(job, now) && job.spec.priority != Priority::low) preemptFor(job, now);
+                if (!placeGang(job, now) && job.spec.priority != Priority::low)
+                    preemptFor(job, now);
                 live.erase(least);
                 continue;
             }
--- a/src/settings/operator.cpp
+++ b/src/settings/operator.cpp
@@ -34,8 +34,8 @@
     const rapidjson::SchemaDocument schema(schemaText);
     rapidjson::SchemaValidator validator(schema);
     if (!doc->Accept(validator))
-        return pointerText(validator.GetInvalidDocumentPointer()) + ": breaks the schema's rule \"" +
-               validator.GetInvalidSchemaKeyword() + "\" at " +
+        return pointerText(validator.GetInvalidDocumentPointer()) +
+               ": breaks the schema's rule \"" + validator.GetInvalidSchemaKeyword() + "\" at " +
                pointerText(validator.GetInvalidSchemaPointer());
     const auto knownTeam = [&](const std::string& name) {
         return std::any_of(settings.teams.begin(), settings.teams.end(),
@@ -57,7 +57,8 @@
     std::map<std::string, Room> rooms;
     if (const auto* pools = json::array(*doc, "pools"))
         for (const auto& p : pools->GetArray()) {
-            out.held[*json::string(p, "type")] = static_cast<std::uint32_t>(*json::count(p, "machines"));
+            out.held[*json::string(p, "type")] =
+                static_cast<std::uint32_t>(*json::count(p, "machines"));
             rooms[*json::string(p, "type")] = {*json::count(p, "machines"),
                                                *json::count(p, "slotsPerMachine"), 0};
         }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -28,7 +28,8 @@
     }
     double number(const char* name, double above) {
         const auto n = v_ != nullptr ? json::number(*v_, name) : std::nullopt;
-        if (!n || *n <= above) fail(name, above < 0 ? "a number of at least 0" : "a number above 0");
+        if (!n || *n <= above)
+            fail(name, above < 0 ? "a number of at least 0" : "a number above 0");
         return n.value_or(0);
     }
     double positive(const char* name) { return number(name, 0); }
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -17,13 +17,17 @@
 Verdict verdictOf(const http::Outcome& o) {
     if (!o.answered) return o.sent ? Verdict::unknown : Verdict::refused;
     switch (o.response.status) {
-        case 200: return Verdict::ok;
-        case 404: return Verdict::notFound;
-        case 409: return Verdict::conflict;
+        case 200:
+            return Verdict::ok;
+        case 404:
+            return Verdict::notFound;
+        case 409:
+            return Verdict::conflict;
         case 400:
             spdlog::warn("state service calls a request malformed: {}", o.response.body);
             return Verdict::refused;
-        default: return Verdict::refused;  // 429, 503: not executed
+        default:
+            return Verdict::refused;  // 429, 503: not executed
     }
 }
 
@@ -85,7 +89,8 @@
 Task<Committed> Client::commit(Transaction txn, Scope& scope) {
     json::Out out;
     out.open().key("guards").openArray();
-    for (const auto& g : txn.guards) out.open().field("key", g.key).field("stamp", g.revision).close();
+    for (const auto& g : txn.guards)
+        out.open().field("key", g.key).field("stamp", g.revision).close();
     out.closeArray().key("then").openArray();
     for (const auto& p : txn.puts) {
         out.open().field("put", p.key).key("data").raw(p.data);
@@ -120,7 +125,8 @@
     if (!o.answered || (o.response.status != 200 && o.response.status != 404)) co_return found;
     const auto doc = json::parse(o.response.body);
     if (doc && found.verdict == Verdict::ok) found.item = itemOf(*doc);
-    if (doc && found.verdict == Verdict::notFound) found.at = json::count(*doc, "epoch").value_or(0);
+    if (doc && found.verdict == Verdict::notFound)
+        found.at = json::count(*doc, "epoch").value_or(0);
     if (found.verdict == Verdict::ok && !found.item) found.verdict = Verdict::unknown;
     if (found.item) found.at = found.item->revision;
     co_return found;
--- a/src/state/writer.cpp
+++ b/src/state/writer.cpp
@@ -112,7 +112,8 @@
                 if (found.verdict == Verdict::notFound) revisions_[key] = 0;
             }
         } else {
-            if (healthy_) spdlog::warn("state service does not take writes; holding {}", queue_.size());
+            if (healthy_)
+                spdlog::warn("state service does not take writes; holding {}", queue_.size());
             healthy_ = false;
             pauseUntil_ = loop_.now() + pauseAfterRefusal;
             hooks_.troubled();
--- a/src/testing/world_test.cpp
+++ b/src/testing/world_test.cpp
@@ -81,7 +81,8 @@
     for (const auto& g : (*doc)["guards"].GetArray()) {
         const std::string key = g["key"].GetString();
         const auto it = keys.find(key);
-        if ((it == keys.end() ? 0 : it->second.stamp) != g["stamp"].GetUint64()) failed.push_back(key);
+        if ((it == keys.end() ? 0 : it->second.stamp) != g["stamp"].GetUint64())
+            failed.push_back(key);
     }
     if (!failed.empty()) {
         out.open().key("failed").openArray();
@@ -106,14 +107,16 @@
 Task<http::Response> StateService::watch(std::string target) {
     const auto after = std::stoull(param(target, "after"));
     const std::string prefix = param(target, "under");
-    const TimePoint until = world_.clock.now() + std::chrono::milliseconds(std::stol(param(target, "waitMs")));
+    const TimePoint until =
+        world_.clock.now() + std::chrono::milliseconds(std::stol(param(target, "waitMs")));
     const auto changed = [&] {
         return erasedAt_ > after || std::any_of(keys.begin(), keys.end(), [&](const auto& k) {
                    return k.first.starts_with(prefix) && k.second.stamp > after;
                });
     };
     while (world_.clock.now() < until && (down || !changed()) && !world_.scope.cancelled()) {
-        co_await world_.loop.wait(changed_, std::min(until, world_.clock.now() + 50ms), world_.scope);
+        co_await world_.loop.wait(changed_, std::min(until, world_.clock.now() + 50ms),
+                                  world_.scope);
         expire();
     }
     co_return http::Response{200, R"({"epoch":1,"log":[]})"};
@@ -157,7 +160,12 @@
         out.open().field("epoch", epoch_).close();
         co_return http::Response{404, out.text()};
     }
-    out.open().field("key", key).key("data").raw(it->second.data).field("stamp", it->second.stamp).close();
+    out.open()
+        .field("key", key)
+        .key("data")
+        .raw(it->second.data)
+        .field("stamp", it->second.stamp)
+        .close();
     co_return http::Response{200, out.text()};
 }
 
