One piece of code where two did the same, and dead members gone

Demand arithmetic stands with Demand; both ways of preempting count the room of what is stopping by one function; a beat at the leader, direct or relayed, is answered in one place; one reader of files; tests share the played state service and the end of a scope. A leader no longer parses each submission twice. Removed: Charge::boundAt, Cluster::since_, Mesh::changed_, Fleet::target. No behaviour is meant to change, but that a malformed relayed report now gets the same error text.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -21,6 +21,9 @@
 http::Response plain(int status, const char* body) {
     return {status, body};
 }
+http::Response malformedReport() {
+    return plain(400, R"({"error":"malformed report"})");
+}
 http::Response noLeader() {
     http::Response r = plain(503, R"({"error":"no leader at the moment"})");
     r.retryAfterS = 1;
@@ -144,15 +147,16 @@
     if (call.verb == UserCall::Verb::none) co_return plain(404, R"({"error":"no such path"})");
     if (call.verb == UserCall::Verb::wrongMethod)
         co_return plain(405, R"({"error":"wrong method"})");
-    if (call.verb == UserCall::Verb::submit) {
-        // What is malformed is so whoever leads.
+    const bool leads = reign_ && reign_->ready();
+    if (call.verb == UserCall::Verb::submit && !leads) {
+        // What is malformed is so whoever leads; a leader finds out by itself.
         auto parsed = jobs::parseSubmission(r.body);
         if (std::holds_alternative<std::string>(parsed)) {
             json::Out o;
             o.open().field("error", std::get<std::string>(parsed)).close();
             co_return http::Response{400, o.text()};
         }
-    } else if (!jobs::validId(call.id)) {
+    } else if (call.verb != UserCall::Verb::submit && !jobs::validId(call.id)) {
         co_return plain(call.verb == UserCall::Verb::query ? 404 : 400,
                         R"({"error":"not a job id"})");
     }
@@ -179,12 +183,8 @@
     if (!reign || !reign->ready()) co_return noLeader();
     if (r.target == beatPath) {
         const auto report = workers::parseReport(r.body);
-        if (!report) co_return plain(400, "{}");
-        if (report->token > leadership_.token()) {
-            leadership_.stepDown("a worker has seen a higher token");
-            co_return noLeader();
-        }
-        co_return reign->beat(*report);
+        if (!report) co_return malformedReport();
+        co_return leaderBeat(*reign, *report).value_or(noLeader());
     }
     const UserCall call = parseCall(r);
     http::Response response = noLeader();
@@ -205,12 +205,18 @@
     co_return response;
 }
 
+std::optional<http::Response> Controller::leaderBeat(Reign& reign, const workers::Report& report) {
+    if (report.token > leadership_.token())
+        leadership_.stepDown("a worker has seen a higher token");
+    if (!leadership_.mayAct()) return std::nullopt;
+    return reign.beat(report);
+}
+
 Task<http::Response> Controller::beat(http::Request r) {
     const auto report = workers::parseReport(r.body);
-    if (!report) co_return plain(400, R"({"error":"malformed report"})");
-    if (reign_ && report->token > leadership_.token())
-        leadership_.stepDown("a worker has seen a higher token");
-    if (reign_ && leadership_.mayAct()) co_return reign_->beat(*report);
+    if (!report) co_return malformedReport();
+    if (reign_)
+        if (auto answer = leaderBeat(*reign_, *report)) co_return std::move(*answer);
     const auto known = leadership_.known();
     if (!known || known->node == settings_.node) co_return noLeader();
     if (mesh_.connected(known->node)) {
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -21,6 +21,8 @@
     Task<http::Response> users(http::Request request);
     Task<http::Response> stateFor(http::Request request);
     Task<http::Response> lead(http::Request request);
+    /// Nothing if this node must not act, or finds out by the report that it must not.
+    std::optional<http::Response> leaderBeat(Reign& reign, const workers::Report& report);
     Task<http::Response> beat(http::Request request);
     http::Response up();
     http::Response status();
--- a/src/app/controller_test.cpp
+++ b/src/app/controller_test.cpp
@@ -77,19 +77,13 @@
             world.scope.spawn(stop(*n->controller, done));
             world.until([&] { return done; });
         }
-        bool done = false;
-        world.loop.spawn(endUsers(done));
-        world.until([&] { return done; });
+        world.end(users);
+        world.end(world.scope);
     }
     static Task<void> stop(Controller& c, bool& done) {
         co_await c.shutDown();
         done = true;
     }
-    Task<void> endUsers(bool& done) {
-        co_await users.end();
-        co_await world.scope.end();
-        done = true;
-    }
 };
 
 TEST_F(ControllerTest, AnyNodeTakesAJobOnceAndItStandsBeforeTheAnswer) {
@@ -202,12 +196,7 @@
     EXPECT_FALSE(elected);
     world.run(1500ms);
     EXPECT_TRUE(elected);
-    bool done = false;
-    world.scope.spawn([](Scope& s, bool& flag) -> Task<void> {
-        co_await s.end();
-        flag = true;
-    }(scope, done));
-    world.until([&] { return done; });
+    world.end(scope);
 }
 
 TEST_F(ControllerTest, TheRightToActEndsBeforeTheGrantCan) {
@@ -242,12 +231,7 @@
     world.until([&] { return fenced || committed; });
     EXPECT_TRUE(fenced);
     EXPECT_FALSE(state.keys.contains("jobs/run-1"));
-    bool done = false;
-    world.scope.spawn([](Scope& s, bool& flag) -> Task<void> {
-        co_await s.end();
-        flag = true;
-    }(scope, done));
-    world.until([&] { return done; });
+    world.end(scope);
 }
 
 }  // namespace
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -31,7 +31,7 @@
       scope_(loop),
       written_(loop),
       kicked_(loop),
-      cluster_(settings, leadership.token(), loop.now()),
+      cluster_(settings, leadership.token()),
       writer_(loop, state, settings.txnOps, std::move(guard),
               {[this](const std::string& key) { return cluster_.encode(key); },
                [this](const std::string& key, std::uint64_t version) {
--- a/src/cells/cells.cpp
+++ b/src/cells/cells.cpp
@@ -152,7 +152,7 @@
         const auto machines = machinesOf(c);
         // A whole zone cell needs all of its machines; a part of it needs one.
         const bool ok = l == want ? std::all_of(machines.begin(), machines.end(), usable)
-                                  : std::any_of(machines.begin(), machines.end(), usable);
+                                  : anyUsable(c, usable);
         if (ok) return c;
     }
     return std::nullopt;
--- a/src/fleet/cloud.cpp
+++ b/src/fleet/cloud.cpp
@@ -112,7 +112,8 @@
     out.closeArray().close();
     http::Request request{"POST", "/hosts/delete", out.text()};
     auto o = co_await send(std::move(request), scope);
-    co_return o.answered&& o.response.status == 200;
+    const bool gone = o.answered && o.response.status == 200;
+    co_return gone;
 }
 
 }  // namespace basaltchute::fleet
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -41,7 +41,6 @@
     /// `settled`: the cloud refused, so nothing was or will be rented under this booking.
     void rentFailed(const Rent& rent, bool settled, TimePoint now);
     void removed(const std::vector<std::string>& names, TimePoint now);
-    [[nodiscard]] const Target& target() const { return target_; }
 
   private:
     using Pool = std::tuple<std::string, std::string, bool>;  // type, zone, spot
--- a/src/fleet/fleet_test.cpp
+++ b/src/fleet/fleet_test.cpp
@@ -17,7 +17,7 @@
   protected:
     FakeClock clock;
     settings::Settings settings = testing::someSettings();
-    scheduler::Cluster cluster{settings, 1, clock.now()};
+    scheduler::Cluster cluster{settings, 1};
     Fleet fleet{cluster, clock.now()};
     FleetTest() { cluster.setCatalogue(testing::someCatalogue()); }
 
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -23,6 +23,18 @@
 
 struct Demand {
     double cores = 0, gpus = 0, ramGb = 0;
+    Demand& operator+=(const Demand& d) {
+        cores += d.cores;
+        gpus += d.gpus;
+        ramGb += d.ramGb;
+        return *this;
+    }
+    Demand& operator-=(const Demand& d) {
+        cores -= d.cores;
+        gpus -= d.gpus;
+        ramGb -= d.ramGb;
+        return *this;
+    }
 };
 
 struct JobSpec {
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -112,11 +112,7 @@
 }
 
 Mesh::Mesh(Loop& loop, const settings::Settings& s, Hooks hooks)
-    : loop_(loop),
-      listen_(s.meshListen),
-      peers_(s.peers),
-      hooks_(std::move(hooks)),
-      changed_(loop) {}
+    : loop_(loop), listen_(s.meshListen), peers_(s.peers), hooks_(std::move(hooks)) {}
 
 void Mesh::start(Scope& scope) {
     listener_ = std::make_unique<Listener>(loop_, listen_);
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -93,7 +93,6 @@
     std::map<std::string, std::shared_ptr<Link>> links_;
     std::map<std::uint64_t, std::shared_ptr<Pending>> pending_;
     std::uint64_t nextId_ = 1;
-    Event changed_;
 };
 
 }  // namespace basaltchute::mesh
--- a/src/scheduler/cluster.cpp
+++ b/src/scheduler/cluster.cpp
@@ -30,15 +30,10 @@
 TimePoint leaseEnd(const settings::Settings& s, TimePoint t) {
     return t + s.lease + s.lease / 1000 + leaseMargin;
 }
-void add(Demand& d, const Demand& x, double sign) {
-    d.cores += sign * x.cores;
-    d.gpus += sign * x.gpus;
-    d.ramGb += sign * x.ramGb;
-}
 }  // namespace
 
-Cluster::Cluster(const settings::Settings& settings, Token token, TimePoint now)
-    : settings_(settings), token_(token), since_(now) {}
+Cluster::Cluster(const settings::Settings& settings, Token token)
+    : settings_(settings), token_(token) {}
 
 // ---------------------------------------------------------------- records
 
@@ -72,9 +67,8 @@
             c.task = t;
             c.attempt = task.attempt;
             c.sent = c.recovered = true;
-            c.boundAt = now;
             machines_[task.machine].charges.push_back(c);
-            add(teamUse_[job->spec.team], job->spec.demand, 1);
+            teamUse_[job->spec.team] += job->spec.demand;
         }
     }
     // The former leader's right had ended before this one's began.
@@ -196,7 +190,7 @@
     const Charge c = m.charges[charge];
     freeCells(c, machine);
     m.charges.erase(m.charges.begin() + static_cast<std::ptrdiff_t>(charge));
-    add(teamUse_[c.job->spec.team], c.job->spec.demand, -1);
+    teamUse_[c.job->spec.team] -= c.job->spec.demand;
     if (owns(c, machine)) unbind(*c.job, c.task);
 }
 
@@ -205,7 +199,7 @@
         release(machine, machines_[machine].charges.size() - 1);
 }
 
-void Cluster::bind(Job& job, std::uint32_t task, MachineIndex machine, TimePoint now,
+void Cluster::bind(Job& job, std::uint32_t task, MachineIndex machine,
                    std::vector<cells::CellIndex> cells) {
     JobTask& t = job.tasks[task];
     t.state = TaskState::bound;
@@ -220,12 +214,11 @@
     c.task = task;
     c.attempt = t.attempt;
     c.version = job.records[job.recordOf(task)].version;
-    c.boundAt = now;
     c.cells = std::move(cells);
     t.guaranteed = !c.cells.empty();
     chargeCells(c, machine);
     machines_[machine].charges.push_back(std::move(c));
-    add(teamUse_[job.spec.team], job.spec.demand, 1);
+    teamUse_[job.spec.team] += job.spec.demand;
 }
 
 void Cluster::machineGone(MachineIndex machine, TimePoint now) {
@@ -355,7 +348,6 @@
         fresh.task = t.task;
         fresh.attempt = t.attempt;
         fresh.sent = true;
-        fresh.boundAt = now;
         if (task.state == TaskState::waiting && t.attempt >= task.attempt && job->open()) {
             // It runs although no record says so: it stays where it is, on record.
             task.state = TaskState::bound;
@@ -366,7 +358,7 @@
         } else {
             fresh.ghost = true;
         }
-        add(teamUse_[job->spec.team], job->spec.demand, 1);
+        teamUse_[job->spec.team] += job->spec.demand;
         chargeCells(fresh, machine);
         m.charges.push_back(fresh);
         c = std::prev(m.charges.end());
--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -27,7 +27,7 @@
 /// reports, requests and the passing of time, outputs are Effects and orders.
 class Cluster {
   public:
-    Cluster(const settings::Settings& settings, Token token, TimePoint now);
+    Cluster(const settings::Settings& settings, Token token);
     void setOperator(const settings::Operator& settings) { operator_ = settings; }
     [[nodiscard]] const settings::Operator& operatorSettings() const { return operator_; }
     [[nodiscard]] const std::map<std::string, cells::Pool>& pools() const { return pools_; }
@@ -74,7 +74,7 @@
 
   private:
     void touch(Job& job, std::uint32_t task, state::Urgency urgency);
-    void bind(Job& job, std::uint32_t task, MachineIndex machine, TimePoint now,
+    void bind(Job& job, std::uint32_t task, MachineIndex machine,
               std::vector<cells::CellIndex> cells = {});
     void finish(Job& job, std::uint32_t task);
     void unbind(Job& job, std::uint32_t task);
@@ -126,6 +126,8 @@
     MachineIndex pick(const Job& job, const Planned& planned, TimePoint now) const;
     bool placeGang(Job& job, TimePoint now);
     [[nodiscard]] bool placeable(const Job& job, MachineIndex machine, TimePoint now) const;
+    /// What is free on it when all that has been told to stop has gone.
+    [[nodiscard]] Demand roomOnceStopped(const workers::Machine& m) const;
     /// Stops work on the machine until the job's task fits; false if that is not enough.
     bool makeRoom(const Job& job, MachineIndex machine,
                   const std::function<bool(const workers::Charge&)>& victim);
@@ -135,7 +137,6 @@
     const settings::Settings& settings_;
     settings::Operator operator_;
     Token token_;
-    TimePoint since_;
     fleet::Catalogue catalogue_;
     std::unordered_map<JobId, std::unique_ptr<Job>> jobs_;
     std::vector<Job*> open_;
--- a/src/scheduler/cluster_test.cpp
+++ b/src/scheduler/cluster_test.cpp
@@ -23,18 +23,11 @@
     std::map<std::string, std::string> records;
 
     std::unique_ptr<Cluster> make(Token token) {
-        auto c = std::make_unique<Cluster>(settings, token, clock.now());
+        auto c = std::make_unique<Cluster>(settings, token);
         c->setCatalogue(testing::someCatalogue());
         return c;
     }
-    void commit() {
-        for (Effects e = cluster->take(); !e.dirty.empty(); e = cluster->take())
-            for (const auto& d : e.dirty) {
-                const auto encoded = cluster->encode(d.first);
-                records[d.first] = encoded.data;
-                cluster->committed(d.first, encoded.version);
-            }
-    }
+    void commit() { testing::commitAll(*cluster, records); }
     void takeOver() {
         cluster = make(cluster->token() + 1);
         for (const auto& [k, data] : records)
--- a/src/scheduler/guarantees.cpp
+++ b/src/scheduler/guarantees.cpp
@@ -83,9 +83,7 @@
         pool->use(machine, static_cast<int>(slots));
         return;
     }
-    Demand& d = guaranteedUse_[c.job->spec.team];
-    d.cores += c.job->spec.demand.cores;
-    d.gpus += c.job->spec.demand.gpus;
+    guaranteedUse_[c.job->spec.team] += c.job->spec.demand;
     const auto it = shared_.find({m.type, c.cells.front()});
     if (it == shared_.end()) return;
     it->second.used += slots;
@@ -98,9 +96,7 @@
     if (pool == nullptr) return;
     if (c.lowSlots > 0) pool->use(machine, -static_cast<int>(c.lowSlots));
     if (c.cells.empty()) return;
-    Demand& d = guaranteedUse_[c.job->spec.team];
-    d.cores -= c.job->spec.demand.cores;
-    d.gpus -= c.job->spec.demand.gpus;
+    guaranteedUse_[c.job->spec.team] -= c.job->spec.demand;
     const auto it = shared_.find({m.type, c.cells.front()});
     if (it != shared_.end()) {
         it->second.used -= slotsFor(c.job->spec, m.type);
@@ -183,7 +179,7 @@
                    (c.job->spec.team != team || c.job->spec.priority > job.spec.priority);
         });
         if (room) {
-            bind(job, task, m, now, *found);
+            bind(job, task, m, *found);
             return true;
         }
         // Not free yet: the cells are bound again once what stood on them has gone.
--- a/src/scheduler/guarantees_test.cpp
+++ b/src/scheduler/guarantees_test.cpp
@@ -17,18 +17,11 @@
     std::map<std::string, std::string> records;
 
     void start(const settings::Operator& own, Token token = 1) {
-        cluster = std::make_unique<Cluster>(settings, token, clock.now());
+        cluster = std::make_unique<Cluster>(settings, token);
         cluster->setOperator(own);
         cluster->setCatalogue(testing::someCatalogue());
     }
-    void commit() {
-        for (Effects e = cluster->take(); !e.dirty.empty(); e = cluster->take())
-            for (const auto& d : e.dirty) {
-                const auto encoded = cluster->encode(d.first);
-                records[d.first] = encoded.data;
-                cluster->committed(d.first, encoded.version);
-            }
-    }
+    void commit() { testing::commitAll(*cluster, records); }
     void exchange(Worker& w) {
         w.execute(cluster->beat(w.next(), clock.now()));
         w.report.token = cluster->token();
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -24,12 +24,6 @@
            need.ramGb <= have.ramGb + epsilon;
 }
 
-void subtract(Demand& from, const Demand& d) {
-    from.cores -= d.cores;
-    from.gpus -= d.gpus;
-    from.ramGb -= d.ramGb;
-}
-
 }  // namespace
 
 TimePoint Cluster::due(const Job& job, TimePoint now) const {
@@ -58,7 +52,7 @@
     const auto type = catalogue_.find(m.type);
     if (type == catalogue_.end()) return {};
     Demand free = type->second.capacity;
-    for (const auto& c : m.charges) subtract(free, c.job->spec.demand);
+    for (const auto& c : m.charges) free -= c.job->spec.demand;
     return free;
 }
 
@@ -136,8 +130,8 @@
                 if (m.spot || m.draining || m.sick || !fresh(m, now) || !m.images.contains(image))
                     continue;
                 Demand free = freeOn(m);
-                if (i == machine) subtract(free, job.spec.demand);
-                for (; room < warmRoom && fits(s.demand, free); ++room) subtract(free, s.demand);
+                if (i == machine) free -= job.spec.demand;
+                for (; room < warmRoom && fits(s.demand, free); ++room) free -= s.demand;
             }
             if (room < warmRoom) return false;
         }
@@ -159,7 +153,7 @@
         const Machine& m = machines_[i];
         if (!placeable(job, i, now)) continue;
         Demand free = freeOn(m);
-        if (const auto p = planned.find(i); p != planned.end()) subtract(free, p->second.demand);
+        if (const auto p = planned.find(i); p != planned.end()) free -= p->second.demand;
         if (!fits(job.spec.demand, free)) continue;
         if (!allowed(job, m, planned)) continue;
         if (!m.spot && !leavesWarmRoom(job, i, now)) continue;
@@ -180,23 +174,23 @@
     return best;
 }
 
+Demand Cluster::roomOnceStopped(const Machine& m) const {
+    Demand room = freeOn(m);
+    for (const auto& c : m.charges)
+        if (mustStop(c)) room += c.job->spec.demand;
+    return room;
+}
+
 bool Cluster::makeRoom(const Job& job, MachineIndex machine,
                        const std::function<bool(const Charge&)>& victim) {
     Machine& m = machines_[machine];
-    Demand room = freeOn(m);
-    if (fits(job.spec.demand, room)) return true;
-    const auto take = [&](const Charge& c) {
-        room.cores += c.job->spec.demand.cores;
-        room.gpus += c.job->spec.demand.gpus;
-        room.ramGb += c.job->spec.demand.ramGb;
-    };
-    for (const auto& c : m.charges)
-        if (mustStop(c)) take(c);
+    if (fits(job.spec.demand, freeOn(m))) return true;
+    Demand room = roomOnceStopped(m);
     std::vector<const Charge*> chosen;
     for (const auto& c : m.charges) {
         if (fits(job.spec.demand, room)) break;
         if (mustStop(c) || !victim(c)) continue;
-        take(c);
+        room += c.job->spec.demand;
         chosen.push_back(&c);
     }
     if (!fits(job.spec.demand, room)) return false;
@@ -219,14 +213,7 @@
         const Machine& m = machines_[i];
         if (!fresh(m, now) || m.sick || m.draining || m.recalledAt || !allowed(job, m, {}))
             continue;
-        Demand room = freeOn(m);
-        const auto take = [&](const Charge& c) {
-            room.cores += c.job->spec.demand.cores;
-            room.gpus += c.job->spec.demand.gpus;
-            room.ramGb += c.job->spec.demand.ramGb;
-        };
-        for (const auto& c : m.charges)
-            if (mustStop(c)) take(c);
+        Demand room = roomOnceStopped(m);
         if (fits(job.spec.demand, room)) return;  // room is being made already
         std::vector<std::pair<double, std::size_t>> candidates;
         for (std::size_t k = 0; k < m.charges.size(); ++k) {
@@ -243,7 +230,7 @@
         double loss = startDelay(job.spec, m);
         for (const auto& [lost, k] : candidates) {
             if (fits(job.spec.demand, room)) break;
-            take(m.charges[k]);
+            room += m.charges[k].job->spec.demand;
             loss += lost + 1;
             chosen.push_back(k);
         }
@@ -270,12 +257,11 @@
         const MachineIndex m = pick(job, planned, now);
         if (m == noMachine) return false;
         Share& share = planned[m];
-        subtract(share.demand,
-                 {-job.spec.demand.cores, -job.spec.demand.gpus, -job.spec.demand.ramGb});
+        share.demand += job.spec.demand;
         ++share.tasks;
         chosen.emplace_back(t, m);
     }
-    for (const auto& [task, machine] : chosen) bind(job, task, machine, now);
+    for (const auto& [task, machine] : chosen) bind(job, task, machine);
     return true;
 }
 
@@ -333,7 +319,7 @@
             spdlog::debug("{}/{} goes to {} after {:.2f} s, image in {:.1f} s", job.spec.id, e.next,
                           machines_[m].name, toSeconds(now - job.submittedAt),
                           startDelay(job.spec, machines_[m]));
-            bind(job, e.next, m, now);
+            bind(job, e.next, m);
         }
         from = to;
     }
--- a/src/settings/operator.cpp
+++ b/src/settings/operator.cpp
@@ -3,8 +3,6 @@
 #include <rapidjson/schema.h>
 
 #include <algorithm>
-#include <fstream>
-#include <sstream>
 
 #include "json/json.h"
 #include "operator_schema.h"
@@ -87,11 +85,9 @@
 }
 
 std::variant<Operator, Error> loadOperator(const std::string& path, const Settings& settings) {
-    std::ifstream file(path);
-    if (!file) return Error("cannot be read");
-    std::ostringstream text;
-    text << file.rdbuf();
-    return parseOperator(text.str(), settings);
+    const auto text = readFile(path);
+    if (!text) return Error("cannot be read");
+    return parseOperator(*text, settings);
 }
 
 }  // namespace basaltchute::settings
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -113,12 +113,18 @@
     return s;
 }
 
-std::variant<Settings, Error> load(const std::string& path) {
+std::optional<std::string> readFile(const std::string& path) {
     std::ifstream file(path);
-    if (!file) return Error("cannot be read");
+    if (!file) return std::nullopt;
     std::ostringstream text;
     text << file.rdbuf();
-    return parse(text.str());
+    return text.str();
+}
+
+std::variant<Settings, Error> load(const std::string& path) {
+    const auto text = readFile(path);
+    if (!text) return Error("cannot be read");
+    return parse(*text);
 }
 
 }  // namespace basaltchute::settings
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -1,4 +1,5 @@
 #pragma once
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -38,6 +39,7 @@
 /// One line: which field is wrong and what was expected there.
 using Error = std::string;
 std::variant<Settings, Error> parse(const std::string& text);
+std::optional<std::string> readFile(const std::string& path);
 std::variant<Settings, Error> load(const std::string& path);
 
 }  // namespace basaltchute::settings
--- a/src/testing/world.h
+++ b/src/testing/world.h
@@ -25,6 +25,8 @@
     Scope scope{loop};
     bool until(const std::function<bool()>& done, Duration most = std::chrono::seconds(30));
     void run(Duration span);
+    /// Ends a scope and waits until its routines have.
+    void end(Scope& scope);
 };
 
 class StateService {
@@ -71,6 +73,9 @@
     http::Server server_;
 };
 
+/// Plays the state service for a cluster: everything dirty is written and said to stand.
+void commitAll(scheduler::Cluster& cluster, std::map<std::string, std::string>& records);
+
 settings::Settings someSettings();
 fleet::Catalogue someCatalogue();
 std::string submission(const std::string& id, const std::string& extra = "");
--- a/src/testing/world_test.cpp
+++ b/src/testing/world_test.cpp
@@ -26,6 +26,24 @@
     until([&] { return clock.now() >= end; }, span + 1s);
 }
 
+void World::end(Scope& ending) {
+    bool done = false;
+    loop.spawn([](Scope& s, bool& flag) -> Task<void> {
+        co_await s.end();
+        flag = true;
+    }(ending, done));
+    until([&] { return done; });
+}
+
+void commitAll(scheduler::Cluster& cluster, std::map<std::string, std::string>& records) {
+    for (auto e = cluster.take(); !e.dirty.empty(); e = cluster.take())
+        for (const auto& d : e.dirty) {
+            const auto encoded = cluster.encode(d.first);
+            records[d.first] = encoded.data;
+            cluster.committed(d.first, encoded.version);
+        }
+}
+
 namespace {
 std::string param(const std::string& target, const std::string& name) {
     const auto at = target.find(name + '=');
--- a/src/workers/machine.h
+++ b/src/workers/machine.h
@@ -27,7 +27,6 @@
     bool recovered = false;      // bound by a former leader
     bool ghost = false;          // on the machine, but not where its task belongs
     bool stopSent = false;
-    TimePoint boundAt{};
     std::vector<cells::CellIndex> cells;  // of its team's reservation; none: low priority
     std::uint32_t lowSlots = 0;           // counted in the low-priority view
 };
