--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -13,6 +13,8 @@
 namespace {
 constexpr Duration factPatience = 3s;
 constexpr Duration tick = 250ms;
+constexpr Duration gather = 10ms;
+constexpr std::size_t slice = 64;  // tasks placed before others get their turn
 
 http::Response refuse(int status, const std::string& why) {
     json::Out o;
@@ -89,8 +91,11 @@
         if (scope_.cancelled()) break;
         dirty_ = false;
         cluster_.expire(loop_.now());
-        cluster_.place(loop_.now());
+        // Beats, touches and users go on between slices of a long pass; a short pause lets one
+        // pass serve many beats.
+        if (cluster_.worthPlacing() && cluster_.place(loop_.now(), slice)) dirty_ = true;
         flush();
+        co_await loop_.sleep(dirty_ ? Duration::zero() : gather, scope_);
     }
 }
 
--- a/src/cells/cells.cpp
+++ b/src/cells/cells.cpp
@@ -275,6 +275,13 @@
     return z != none && cells_[z].bound > 0 ? 1 : 2;
 }
 
+std::vector<MachineIndex> Pool::buddies(MachineIndex machine) const {
+    const auto it = byMachine_.find(machine);
+    if (it == byMachine_.end()) return {};
+    const CellIndex zone = cells_[it->second].parent;
+    return machinesOf(zone == none ? it->second : zone);
+}
+
 std::string Pool::check() const {
     for (std::size_t l = 0; l < levels; ++l) {
         for (const auto& [low, c] : free_[l]) {
--- a/src/cells/cells.h
+++ b/src/cells/cells.h
@@ -57,6 +57,8 @@
     [[nodiscard]] std::uint32_t lowSlots(MachineIndex machine) const;
     /// How far the machine is from guaranteed cells: 0 it has some itself, 1 a buddy has, 2 none.
     [[nodiscard]] int distance(MachineIndex machine) const;
+    /// The machines whose distance changes with what is bound on this one, itself among them.
+    [[nodiscard]] std::vector<MachineIndex> buddies(MachineIndex machine) const;
 
     [[nodiscard]] std::size_t freeCells(Level level) const { return free(level).size(); }
     [[nodiscard]] std::uint32_t slotsPerMachine() const { return shape_.slotsPerMachine; }
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -183,7 +183,7 @@
         return key(a) < key(b);
     });
     for (const MachineIndex i : candidates) {
-        Machine& m = cluster_.machines()[i];
+        const Machine& m = cluster_.machines()[i];
         if (!surplus(m)) {
             surplusSince_.erase(i);
             continue;
@@ -191,7 +191,7 @@
         const auto since = surplusSince_.try_emplace(i, now).first->second;
         if (now - since < spareHold) continue;
         spdlog::info("machine {} is beyond the target: no more work for it", m.name);
-        m.draining = true;
+        cluster_.setDraining(i, true);
         (m.spot ? have.spot : have.ordinary) -= coresOf(m.type);
     }
 }
@@ -199,7 +199,7 @@
 void Fleet::emptyDraining(TimePoint now) {
     const Have have = this->have(true);
     for (MachineIndex i = 0; i < cluster_.machines().size(); ++i) {
-        Machine& m = cluster_.machines()[i];
+        const Machine& m = cluster_.machines()[i];
         if (!m.draining || !m.up()) continue;
         if (m.charges.empty()) {
             dead_.insert(m.name);
@@ -209,7 +209,7 @@
         const bool wanted = m.spot ? have.spot < target_.spot && servesSpot(m.type)
                                    : have.ordinary < target_.ordinary;
         if (wanted && !dead_.contains(m.name)) {
-            m.draining = false;
+            cluster_.setDraining(i, false);
             surplusSince_.erase(i);
             return;
         }
@@ -338,7 +338,7 @@
     for (const auto& n : names) {
         dead_.erase(n);
         coming_.erase(n);
-        cluster_.machineGone(cluster_.machines().indexOf(n), now);
+        cluster_.machineGone(cluster_.indexOf(n), now);
     }
 }
 
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <numeric>
 #include <utility>
 
 namespace basaltchute::jobs {
@@ -165,6 +166,8 @@
     job->tasksPerRecord =
         static_cast<std::uint32_t>(std::max<std::size_t>(16, valueBytes * 3 / 4 / bytesPerTask));
     job->tasks.resize(spec.tasks);
+    job->queue.resize(spec.tasks);
+    std::iota(job->queue.rbegin(), job->queue.rend(), 0U);
     job->records.resize((spec.tasks + job->tasksPerRecord - 1) / job->tasksPerRecord);
     job->spec = std::move(spec);
     // Only the first record says that the job exists; the others appear with their first change.
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -23,6 +23,7 @@
 
 struct Demand {
     double cores = 0, gpus = 0, ramGb = 0;
+    bool operator==(const Demand&) const = default;
     Demand& operator+=(const Demand& d) {
         cores += d.cores;
         gpus += d.gpus;
@@ -76,6 +77,13 @@
     std::uint64_t cancelVersion = 0;
     std::vector<JobTask> tasks;
     std::uint32_t doneCount = 0, boundCount = 0, runningCount = 0;
+    /// Tasks to be placed, the next one last. What was adopted or done meanwhile is skipped when
+    /// it comes up, so that no change of a task costs a search.
+    std::vector<std::uint32_t> queue;
+    std::size_t queuedAt = notQueued;  // where the scheduler lists it among jobs that wait
+    static constexpr std::size_t notQueued = SIZE_MAX;
+    /// Tasks that are possibly in each zone; under "" those on machines not heard of yet.
+    std::map<std::string, std::uint32_t> perZone;
     /// One record per block of tasks; the first also holds the job itself.
     struct Record {
         std::uint64_t version = 1, durable = 0;
@@ -92,6 +100,12 @@
     [[nodiscard]] bool cancelDurable() const {
         return cancelled && records[0].durable >= cancelVersion;
     }
+    [[nodiscard]] std::uint32_t waitingCount() const { return spec.tasks - doneCount - boundCount; }
+    /// The next task to be placed; there must be one.
+    [[nodiscard]] std::uint32_t nextWaiting() {
+        while (tasks[queue.back()].state != TaskState::waiting) queue.pop_back();
+        return queue.back();
+    }
     [[nodiscard]] bool allDone() const { return doneCount == spec.tasks; }
     [[nodiscard]] bool doneDurable() const {
         if (!allDone()) return false;
--- a/src/leadership/leadership.cpp
+++ b/src/leadership/leadership.cpp
@@ -88,18 +88,23 @@
 
 Task<void> Leadership::follow(Scope& scope) {
     while (!scope.cancelled()) {
-        const state::Found found = co_await client_.get(holderKey, scope);
-        stateAnswers_ = found.verdict == Verdict::ok || found.verdict == Verdict::notFound;
-        if (found.verdict == Verdict::notFound) co_return;
+        // Read as a list, which tells the revision of the whole store. A watch that begins at the
+        // key's own is refused once the service has forgotten that far back: after 10,000 changes
+        // every follower asked without a pause, and the service refused the leader's writes.
+        const state::Listing found = co_await client_.list(prefix, scope);
+        stateAnswers_ = found.verdict == Verdict::ok;
         if (found.verdict != Verdict::ok) {
             co_await loop_.sleep(200ms, scope);
             continue;
         }
-        const auto doc = json::parse(found.item->data);
+        const auto held = std::find_if(found.items.begin(), found.items.end(),
+                                       [](const auto& i) { return i.key == holderKey; });
+        if (held == found.items.end()) co_return;
+        const auto doc = json::parse(held->data);
         const auto node = doc ? json::string(*doc, "node") : std::nullopt;
         const auto token = doc ? json::count(*doc, "token") : std::nullopt;
         if (!node || !token) {
-            spdlog::error("the leader's key is malformed: {}", found.item->data);
+            spdlog::error("the leader's key is malformed: {}", held->data);
             co_await loop_.sleep(1s, scope);
             continue;
         }
@@ -112,7 +117,8 @@
             known_.reset();
             continue;
         }
-        co_await client_.watch(prefix, found.at, 10s, scope);
+        const Verdict watched = co_await client_.watch(prefix, found.at, 10s, scope);
+        if (watched != Verdict::ok) co_await loop_.sleep(200ms, scope);
     }
 }
 
--- a/src/scheduler/cluster.cpp
+++ b/src/scheduler/cluster.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 #include "jobs/codec.h"
 
@@ -45,6 +46,7 @@
 
 bool Cluster::load(const std::string& key, const std::string& data, TimePoint now,
                    WallMillis wall) {
+    now_ = now;
     return jobs::decodeRecord(
         key, data, settings_.valueBytes, [&](const JobId& id) { return find(id); },
         [&](std::unique_ptr<Job> job) {
@@ -58,7 +60,7 @@
 
 void Cluster::loaded(TimePoint now) {
     for (auto& [id, job] : jobs_) {
-        if (job->open()) open_.push_back(job.get());
+        if (job->open()) opened(*job);
         for (std::uint32_t t = 0; t < job->spec.tasks; ++t) {
             const JobTask& task = job->tasks[t];
             if (task.state != TaskState::bound) continue;
@@ -67,12 +69,14 @@
             c.task = t;
             c.attempt = task.attempt;
             c.sent = c.recovered = true;
-            machines_[task.machine].charges.push_back(c);
-            teamUse_[job->spec.team] += job->spec.demand;
+            charge(task.machine, std::move(c));
         }
     }
     // The former leader's right had ended before this one's began.
-    for (auto& m : machines_) m.leaseEnd = leaseEnd(settings_, now);
+    for (MachineIndex i = 0; i < machines_.size(); ++i) {
+        machines_[i].leaseEnd = leaseEnd(settings_, now);
+        attendAt(i, machines_[i].leaseEnd);
+    }
 }
 
 state::Encoded Cluster::encode(const std::string& key) const {
@@ -91,6 +95,7 @@
     Job& job = *jobs_.at(rest.substr(0, slash));
     const std::size_t r = slash == std::string::npos ? 0 : std::stoul(rest.substr(slash + 1));
     job.records[r].durable = std::max(job.records[r].durable, version);
+    listWaiting(job);  // once accepted it may be placed
     if (!job.open() && !job.cancelled) return;
     const auto from = static_cast<std::uint32_t>(r * job.tasksPerRecord);
     const auto to = std::min(from + job.tasksPerRecord, job.spec.tasks);
@@ -132,9 +137,10 @@
     job->submitted = wall;
     job->submittedAt = now;
     job->records[0].version = 0;
-    open_.push_back(job.get());
+    now_ = now;
     Job& ref = *job;
     jobs_[spec.id] = std::move(job);
+    opened(ref);
     touch(ref, 0, Urgency::users);
     return Submitted::fresh;
 }
@@ -144,15 +150,47 @@
     job.cancelled = true;
     touch(job, 0, Urgency::users);
     job.cancelVersion = job.records[0].version;
-    std::erase(open_, &job);
+    closed(job);
     // Bindings whose launch never left need no proof.
-    for (MachineIndex i = 0; i < machines_.size(); ++i) {
-        auto& charges = machines_[i].charges;
+    for (const JobTask& t : job.tasks) {
+        if (t.state != TaskState::bound) continue;
+        const MachineIndex at = t.machine;
+        changed(at);
+        auto& charges = machines_[at].charges;
         for (std::size_t c = charges.size(); c-- > 0;)
-            if (charges[c].job == &job && !charges[c].sent) release(i, c);
+            if (charges[c].job == &job && !charges[c].sent) release(at, c);
     }
 }
 
+void Cluster::opened(Job& job) {
+    open_.push_back(&job);
+    if (wantsWarm(job.spec))
+        room_.wantWarm(job.spec.jobClass, job.spec.priority, job.spec.demand, job.spec.image);
+    listWaiting(job);
+}
+
+void Cluster::closed(Job& job) {
+    std::erase(open_, &job);
+    if (wantsWarm(job.spec)) room_.unwantWarm(job.spec.jobClass, job.spec.image);
+    listWaiting(job);
+}
+
+void Cluster::listWaiting(Job& job) {
+    const bool waits = job.open() && job.accepted() && job.waitingCount() > 0;
+    const bool listed = job.queuedAt != Job::notQueued;
+    if (waits == listed) return;
+    if (waits) {
+        job.queuedAt = waiting_.size();
+        waiting_.push_back(&job);
+        newWork_ = true;
+        return;
+    }
+    waiting_[job.queuedAt] = waiting_.back();
+    waiting_[job.queuedAt]->queuedAt = job.queuedAt;
+    waiting_.pop_back();
+    job.queuedAt = Job::notQueued;
+}
+
 // ---------------------------------------------------------------- charges
 
 bool Cluster::owns(const Charge& c, MachineIndex machine) const {
@@ -168,6 +206,9 @@
     t.stopping = false;
     t.machine = noMachine;
     --job.boundCount;
+    job.queue.push_back(task);
+    newWork_ = true;
+    listWaiting(job);
     touch(job, task, Urgency::rest);
 }
 
@@ -177,12 +218,16 @@
     if (t.state == TaskState::bound) {
         if (t.phase == Phase::running || t.phase == Phase::saving) --job.runningCount;
         --job.boundCount;
+        changed(t.machine);
     }
     t.state = TaskState::done;
     t.machine = noMachine;
     ++job.doneCount;
     touch(job, task, Urgency::rest);
-    if (job.allDone()) std::erase(open_, &job);
+    if (job.allDone())
+        closed(job);
+    else
+        listWaiting(job);
 }
 
 void Cluster::release(MachineIndex machine, std::size_t charge) {
@@ -191,6 +236,9 @@
     freeCells(c, machine);
     m.charges.erase(m.charges.begin() + static_cast<std::ptrdiff_t>(charge));
     teamUse_[c.job->spec.team] -= c.job->spec.demand;
+    const auto zone = c.job->perZone.find(m.zone);
+    if (--zone->second == 0) c.job->perZone.erase(zone);
+    changed(machine);
     if (owns(c, machine)) unbind(*c.job, c.task);
 }
 
@@ -208,6 +256,7 @@
     t.machine = machine;
     ++t.attempt;
     ++job.boundCount;
+    listWaiting(job);
     touch(job, task, Urgency::bindings);
     Charge c;
     c.job = &job;
@@ -216,37 +265,83 @@
     c.version = job.records[job.recordOf(task)].version;
     c.cells = std::move(cells);
     t.guaranteed = !c.cells.empty();
+    charge(machine, std::move(c));
+}
+
+Charge& Cluster::charge(MachineIndex machine, Charge c) {
+    Machine& m = machines_[machine];
     chargeCells(c, machine);
-    machines_[machine].charges.push_back(std::move(c));
-    teamUse_[job.spec.team] += job.spec.demand;
+    teamUse_[c.job->spec.team] += c.job->spec.demand;
+    ++c.job->perZone[m.zone];
+    m.charges.push_back(std::move(c));
+    changed(machine);
+    attendAt(machine, m.leaseEnd);
+    return m.charges.back();
+}
+
+void Cluster::stop(Job& job, std::uint32_t task) {
+    const auto one = [&](JobTask& t) {
+        if (t.state != TaskState::bound || t.stopping) return;
+        t.stopping = true;
+        effects_.push.insert(t.machine);
+        changed(t.machine);
+    };
+    if (job.spec.shape == Shape::gang)
+        for (JobTask& t : job.tasks) one(t);
+    else
+        one(job.tasks[task]);
 }
 
 void Cluster::machineGone(MachineIndex machine, TimePoint now) {
     Machine& m = machines_[machine];
+    now_ = now;
     m.presence = Presence::gone;
     m.heardAt = now;
     releaseAll(machine);
     if (cells::Pool* pool = poolOf(m)) pool->removeMachine(machine);
+    // The name must stay known, so that a late report does not bring the machine back; what was
+    // on it need not.
+    m.images.clear();
+    m.keep.clear();
+    m.exited.clear();
+    m.strangers.clear();
+    m.failedJobs.clear();
+    changed(machine);
+}
+
+void Cluster::setDraining(MachineIndex machine, bool draining) {
+    machines_[machine].draining = draining;
+    changed(machine);
 }
 
 void Cluster::saveBeforeRecall(MachineIndex machine, TimePoint now) {
     Machine& m = machines_[machine];
     for (const auto& c : m.charges) {
-        JobTask& task = c.job->tasks[c.task];
+        const JobTask& task = c.job->tasks[c.task];
         const JobSpec& spec = c.job->spec;
         if (!owns(c, machine) || task.stopping || spec.checkpointS <= 0) continue;
         // As late as the save allows: the task may still finish.
-        if (*m.recalledAt - now > fromSeconds(spec.saveS) + recallMargin) continue;
-        task.stopping = true;
-        effects_.push.insert(machine);
+        const TimePoint last = *m.recalledAt - fromSeconds(spec.saveS) - recallMargin;
+        if (now < last)
+            attendAt(machine, last);
+        else
+            stop(*c.job, c.task);
     }
 }
 
-void Cluster::expire(TimePoint now) {
-    for (MachineIndex i = 0; i < machines_.size(); ++i) {
-        Machine& m = machines_[i];
-        if (m.up() && m.recalledAt) saveBeforeRecall(i, now);
-        if (m.presence == Presence::gone || m.charges.empty() || now < m.leaseEnd) continue;
+void Cluster::attendAt(MachineIndex machine, TimePoint at) {
+    Machine& m = machines_[machine];
+    if (at >= m.attendAt) return;
+    if (m.attendAt != TimePoint::max()) agenda_.erase({m.attendAt, machine});
+    m.attendAt = at;
+    agenda_.emplace(at, machine);
+}
+
+void Cluster::attend(MachineIndex i, TimePoint now) {
+    Machine& m = machines_[i];
+    if (m.presence == Presence::gone) return;
+    if (m.up() && m.recalledAt) saveBeforeRecall(i, now);
+    if (!m.charges.empty() && now >= m.leaseEnd) {
         // Nobody can have renewed it: the worker has killed everything and begun a new session,
         // which also fences direct orders that are still under way.
         spdlog::warn("machine {} silent for a whole lease: {} tasks released", m.name,
@@ -255,6 +350,20 @@
         m.keep.clear();
         releaseAll(i);
     }
+    changed(i);
+    // Beats move these on; the next look is at what they were when this one was due.
+    for (const TimePoint t : {m.heardAt + settings_.reportEvery * 2, m.avoidUntil, m.leaseEnd})
+        if (t > now) attendAt(i, t);
+}
+
+void Cluster::expire(TimePoint now) {
+    now_ = now;
+    while (!agenda_.empty() && agenda_.begin()->first <= now) {
+        const MachineIndex i = agenda_.begin()->second;
+        agenda_.erase(agenda_.begin());
+        machines_[i].attendAt = TimePoint::max();
+        attend(i, now);
+    }
 }
 
 // ---------------------------------------------------------------- reports
@@ -275,6 +384,8 @@
     m.failedJobs.insert(job.spec.id);
     job.failedOn[index] = now;
     m.avoidUntil = now + 10s;
+    changed(index);
+    attendAt(index, m.avoidUntil);
     // A job that fails wherever it goes is at fault itself; a machine that fails several jobs is.
     if (job.failedOn.size() >= 3) {
         const auto tries = std::min<std::uint32_t>(job.failures, 8);
@@ -319,6 +430,7 @@
             break;
         case ExitCause::full:
             m.avoidUntil = now + 2s;
+            attendAt(machine, m.avoidUntil);
             break;
         case ExitCause::busy:
         case ExitCause::noSuch:
@@ -354,15 +466,15 @@
             task.machine = machine;
             task.attempt = t.attempt;
             ++job->boundCount;
+            listWaiting(*job);
             touch(*job, t.task, Urgency::bindings);
         } else {
             fresh.ghost = true;
         }
-        teamUse_[job->spec.team] += job->spec.demand;
-        chargeCells(fresh, machine);
-        m.charges.push_back(fresh);
+        charge(machine, std::move(fresh));
         c = std::prev(m.charges.end());
     }
+    c->listedIn = m.sequence;
     c->seen = true;
     c->recovered = false;
     if (!owns(*c, machine)) return;
@@ -371,26 +483,36 @@
                         : t.status == TaskStatus::saving ? Phase::saving
                                                          : Phase::running;
     setPhase(*job, task, phase, now);
-    if (phase != Phase::pulling && before != Phase::running) m.images[job->spec.image] = now;
+    if (phase != Phase::pulling && before != Phase::running &&
+        m.images.insert_or_assign(job->spec.image, now).second)
+        changed(machine);
 }
 
 void Cluster::report(const Report& r, Source source, TimePoint now) {
     const MachineIndex index = machines_.indexOf(r.machine);
     Machine& m = machines_[index];
     if (m.presence == Presence::gone) return;
+    now_ = now;
     m.address = r.address;
-    m.type = r.type;
-    m.zone = r.zone;
-    m.spot = r.spot;
     if (m.presence == Presence::expected) {
         m.presence = Presence::up;
         m.upSince = now;
+        m.type = r.type;
+        m.zone = r.zone;
+        m.spot = r.spot;
+        for (const auto& c : m.charges) {  // bound by a former leader, in a zone not known till now
+            --c.job->perZone[""];
+            ++c.job->perZone[m.zone];
+            std::erase_if(c.job->perZone, [](const auto& n) { return n.second == 0; });
+        }
         enterPool(index);
+        changed(index);
     }
     if (std::tie(r.session, r.sequence) <= std::tie(m.session, m.sequence)) return;
     if (r.session > m.session && m.session != 0) {
         m.keep.clear();
         m.images.clear();
+        changed(index);
         // The worker killed all it had. Bindings whose launch never left are still good.
         for (std::size_t c = m.charges.size(); c-- > 0;)
             if (m.charges[c].sent) release(index, c);
@@ -404,24 +526,29 @@
         return;
     }
     m.heardAt = now;
-    if (r.notice && !m.recalledAt) spdlog::info("machine {} is to be taken back", m.name);
-    if (r.notice) m.recalledAt = now + *r.notice;
+    if (room_.of(index) == nullptr) changed(index);  // silent for a while, or new
+    attendAt(index, now + settings_.reportEvery * 2);
+    if (r.notice) {
+        if (!m.recalledAt) {
+            spdlog::info("machine {} is to be taken back", m.name);
+            changed(index);
+        }
+        m.recalledAt = now + *r.notice;
+        attendAt(index, now);
+    }
     m.exited.clear();
     m.strangers.clear();
     for (const auto& t : r.tasks) {
         if (t.status == TaskStatus::exited) {
-            exited(index, t, now);
             m.exited.push_back(t);
+            exited(index, t, now);
         } else {
             seen(index, t, now);
         }
     }
     for (std::size_t i = m.charges.size(); i-- > 0;) {
         const Charge& c = m.charges[i];
-        const bool listed = std::any_of(r.tasks.begin(), r.tasks.end(), [&](const auto& t) {
-            return t.attempt == c.attempt && t.task == c.task && t.job == c.job->spec.id;
-        });
-        if (listed || !c.sent) continue;
+        if (c.listedIn == r.sequence || !c.sent) continue;
         // Not mentioned. Proof that it is not there, unless a launch may still be on its way:
         // those of a former leader are fenced once the worker has seen our token.
         const bool fenced = c.recovered && r.token == token_;
@@ -522,4 +649,88 @@
     return m.up() && m.session > m.deadSession && now - m.heardAt < settings_.reportEvery * 2;
 }
 
+// ---------------------------------------------------------------- offers of room
+
+void Cluster::changed(MachineIndex machine) {
+    Machine& m = machines_[machine];
+    if (m.changed) return;
+    m.changed = true;
+    changed_.push_back(machine);
+}
+
+bool Cluster::open(const Machine& m) const {
+    return fresh(m, now_) && !m.sick && !m.draining && !m.recalledAt && now_ >= m.avoidUntil &&
+           catalogue_.contains(m.type);
+}
+
+Offer Cluster::offerOf(MachineIndex machine) const {
+    const Machine& m = machines_[machine];
+    Offer o;
+    o.type = m.type;
+    o.zone = m.zone;
+    o.spot = m.spot;
+    if (const auto pool = pools_.find(m.type); pool != pools_.end())
+        o.distance = pool->second.distance(machine);
+    o.free = freeOn(m);
+    o.reclaimable.fill(o.free);
+    for (const auto& [image, used] : m.images) o.images.push_back(image);
+    for (const auto& c : m.charges) {
+        for (std::size_t rank = 0; rank < Offer::preempting; ++rank)
+            if (mustStop(c) || mayPreempt(static_cast<Priority>(rank), c))
+                o.reclaimable[rank] += c.job->spec.demand;
+        if (!m.images.contains(c.job->spec.image)) o.fetching.push_back(c.job->spec.image);
+    }
+    std::sort(o.fetching.begin(), o.fetching.end());
+    o.fetching.erase(std::unique(o.fetching.begin(), o.fetching.end()), o.fetching.end());
+    return o;
+}
+
+void Cluster::settle() {
+    for (const MachineIndex i : changed_) {
+        Machine& m = machines_[i];
+        m.changed = false;
+        ++looks_;
+        const bool stopping = std::any_of(m.charges.begin(), m.charges.end(),
+                                          [&](const Charge& c) { return mustStop(c); });
+        if (!stopping || !m.up()) promises_.erase(i);
+        if (open(m))
+            room_.offer(i, offerOf(i));
+        else
+            room_.withdraw(i);
+    }
+    changed_.clear();
+}
+
+std::string Cluster::check() {
+    settle();
+    if (!room_.agrees(room_.recount())) return "the room index";
+    std::unordered_map<std::string, Demand> used;
+    std::map<const Job*, std::map<std::string, std::uint32_t>> zones;
+    for (MachineIndex i = 0; i < machines_.size(); ++i) {
+        const Machine& m = machines_[i];
+        const Offer* offer = room_.of(i);
+        if ((offer != nullptr) != open(m)) return "which machines are open: " + m.name;
+        if (offer != nullptr && !(*offer == offerOf(i))) return "the offer of " + m.name;
+        for (const auto& c : m.charges) {
+            used[c.job->spec.team] += c.job->spec.demand;
+            ++zones[c.job][m.zone];
+        }
+    }
+    for (const auto& [team, use] : teamUse_) {
+        Demand left = use;
+        left -= used[team];
+        if (std::abs(left.cores) + std::abs(left.ramGb) + std::abs(left.gpus) > 1e-3)
+            return "the use of team " + team;
+    }
+    for (const auto& [id, job] : jobs_) {
+        if (job->perZone != zones[job.get()]) return "the zones of " + id;
+        std::uint32_t waiting = 0;
+        for (const auto& t : job->tasks) waiting += t.state == TaskState::waiting ? 1 : 0;
+        if (waiting != job->waitingCount()) return "the tasks that wait of " + id;
+        if ((job->queuedAt != Job::notQueued) != (job->open() && job->accepted() && waiting > 0))
+            return "whether " + id + " is listed";
+    }
+    return "";
+}
+
 }  // namespace basaltchute::scheduler
--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -8,6 +8,7 @@
 
 #include "fleet/catalogue.h"
 #include "jobs/job.h"
+#include "scheduler/room.h"
 #include "settings/operator.h"
 #include "settings/settings.h"
 #include "state/writer.h"
@@ -51,17 +52,24 @@
     std::vector<workers::Order> directOrders(MachineIndex machine, TimePoint now);
     void directEnded(MachineIndex machine, bool sent, bool answered);
     void machineGone(MachineIndex machine, TimePoint now);
+    /// The machine is to be returned, or is wanted again after all.
+    void setDraining(MachineIndex machine, bool draining);
+    /// Does what the passing of time asks for: leases that ran out, recalls, pauses that end.
     void expire(TimePoint now);
 
-    /// Decides what runs where; safe to call at any time.
-    void place(TimePoint now);
+    /// Decides what runs where, for `most` tasks at a time; true if there is more to decide.
+    /// Safe to call at any time.
+    bool place(TimePoint now, std::size_t most = SIZE_MAX);
+    /// Whether placing could achieve anything that the last time could not.
+    [[nodiscard]] bool worthPlacing();
     /// Moves a replica off a machine that is to be returned, if another one that has its image
     /// has room: stopped and started again it is away for a moment only.
     void moveReplicas(MachineIndex machine, TimePoint now);
 
     void setCatalogue(fleet::Catalogue catalogue);
     [[nodiscard]] const fleet::Catalogue& catalogue() const { return catalogue_; }
-    [[nodiscard]] workers::Registry& machines() { return machines_; }
+    /// Where a machine stands, known from now on if it was not.
+    MachineIndex indexOf(const std::string& machine) { return machines_.indexOf(machine); }
     [[nodiscard]] const workers::Registry& machines() const { return machines_; }
     [[nodiscard]] const std::vector<Job*>& openJobs() const { return open_; }
     [[nodiscard]] std::size_t jobCount() const { return jobs_.size(); }
@@ -71,6 +79,10 @@
     [[nodiscard]] bool fresh(const workers::Machine& m, TimePoint now) const;
     [[nodiscard]] Demand freeOn(const workers::Machine& m) const;
     Effects take() { return std::exchange(effects_, {}); }
+    /// Machines looked at so far by placement and its indices: it follows what changes.
+    [[nodiscard]] std::uint64_t looks() const { return looks_; }
+    /// Empty if every index agrees with a plain recount; else what does not. For tests.
+    [[nodiscard]] std::string check();
 
   private:
     void touch(Job& job, std::uint32_t task, state::Urgency urgency);
@@ -78,7 +90,21 @@
               std::vector<cells::CellIndex> cells = {});
     void finish(Job& job, std::uint32_t task);
     void unbind(Job& job, std::uint32_t task);
+    void opened(Job& job);
+    void closed(Job& job);
+    /// Lists the job among those with tasks to place, or strikes it off.
+    void listWaiting(Job& job);
+    workers::Charge& charge(MachineIndex machine, workers::Charge charge);
+    /// Tells a task to stop, and the rest of its gang with it: without one member it does no work.
+    void stop(Job& job, std::uint32_t task);
     void saveBeforeRecall(MachineIndex machine, TimePoint now);
+    void attend(MachineIndex machine, TimePoint now);
+    void attendAt(MachineIndex machine, TimePoint at);
+    void changed(MachineIndex machine);
+    /// Makes the offers of changed machines anew.
+    void settle();
+    [[nodiscard]] bool open(const workers::Machine& m) const;
+    [[nodiscard]] Offer offerOf(MachineIndex machine) const;
     bool owns(const workers::Charge& c, MachineIndex machine) const;
     void release(MachineIndex machine, std::size_t charge);
     void releaseAll(MachineIndex machine);
@@ -113,16 +139,15 @@
         std::uint32_t tasks = 0;
     };
     using Planned = std::unordered_map<MachineIndex, Share>;  // chosen in this pass, not bound yet
-    [[nodiscard]] bool allowed(const Job& job, const workers::Machine& m,
-                               const Planned& planned) const;
+    [[nodiscard]] bool allowed(const Job& job, const std::string& type, const std::string& zone,
+                               bool spot, const Planned& planned) const;
+    [[nodiscard]] bool allowed(const Job& job, const workers::Machine& m) const {
+        return allowed(job, m.type, m.zone, m.spot, {});
+    }
+    [[nodiscard]] double fetchTime(const JobSpec& s, const std::string& type) const;
     [[nodiscard]] double startDelay(const JobSpec& s, const workers::Machine& m) const;
-    /// Room kept on machines that have a class's images, so that its next tasks start at once.
-    struct WarmClass {
-        const Job* sample = nullptr;
-        std::set<std::string> images;
-    };
-    void findWarmClasses();
-    [[nodiscard]] bool leavesWarmRoom(const Job& job, MachineIndex machine, TimePoint now) const;
+    /// Room is kept on machines that have such a class's images: its next tasks start at once.
+    [[nodiscard]] bool wantsWarm(const JobSpec& s) const;
     MachineIndex pick(const Job& job, const Planned& planned, TimePoint now) const;
     bool placeGang(Job& job, TimePoint now);
     [[nodiscard]] bool placeable(const Job& job, MachineIndex machine, TimePoint now) const;
@@ -131,7 +156,9 @@
     /// Stops work on the machine until the job's task fits; false if that is not enough.
     bool makeRoom(const Job& job, MachineIndex machine,
                   const std::function<bool(const workers::Charge&)>& victim);
-    void preemptFor(const Job& job, TimePoint now);
+    /// Stops lower-ranking work until there will be room for `tasks` of the job.
+    void preemptFor(const Job& job, std::uint32_t tasks, TimePoint now);
+    [[nodiscard]] bool mayPreempt(Priority rank, const workers::Charge& c) const;
     [[nodiscard]] bool withinLimit(const Job& job) const;
 
     const settings::Settings& settings_;
@@ -150,8 +177,18 @@
     std::map<std::pair<std::string, cells::CellIndex>, Shared> shared_;
     std::unordered_map<std::string, Demand> guaranteedUse_;
     std::unordered_map<std::string, Demand> teamUse_;  // of everything possibly running
-    std::map<std::string, WarmClass> warm_;            // found anew in every pass
-    std::unordered_map<std::string, double> bias_;     // log of run time over estimate, by class
+    std::vector<Job*> waiting_;                        // jobs with tasks to place
+    Room room_;
+    std::vector<MachineIndex> changed_;
+    std::set<std::pair<TimePoint, MachineIndex>> agenda_;  // by Machine::attendAt
+    TimePoint now_{};
+    /// Room that is being made, and for whom: dropped when nothing on the machine is stopping.
+    std::multimap<MachineIndex, const Job*> promises_;
+    bool newWork_ = false;  // something waits that no pass has seen yet
+    std::uint64_t gainsSeen_ = 0;
+    TimePoint lastPass_{};
+    mutable std::uint64_t looks_ = 0;
+    std::unordered_map<std::string, double> bias_;  // log of run time over estimate, by class
     Effects effects_;
 };
 
--- a/src/scheduler/cluster_test.cpp
+++ b/src/scheduler/cluster_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <random>
+
 #include "testing/world.h"
 
 namespace basaltchute::scheduler {
@@ -459,5 +461,118 @@
     EXPECT_EQ(cluster->find("run-1")->doneCount, before);
 }
 
+TEST_F(ClusterTest, EveryIndexAgreesWithAPlainRecountUnderRandomOperations) {
+    settings.objectives = {{"wait", "web", 1s, 0.9}};
+    std::mt19937 random(20261201);
+    const auto below = [&](std::size_t n) {
+        return std::uniform_int_distribution<std::size_t>(0, n - 1)(random);
+    };
+    std::vector<Worker> all;
+    std::vector<JobId> ids;
+    for (int step = 0; step < 3000; ++step) {
+        const std::size_t what = below(20);
+        if (what == 0 || all.size() < 4) {
+            all.emplace_back("n-" + std::to_string(all.size()), below(2) == 0 ? "a" : "b",
+                             below(3) == 0);
+        } else if (what < 3 && ids.size() < 200) {
+            JobSpec s = testing::spec("run-" + std::to_string(ids.size()),
+                                      1 + static_cast<std::uint32_t>(below(6)));
+            s.priority = static_cast<Priority>(below(4));
+            s.team = below(2) == 0 ? "red" : "blue";
+            s.demand = {1.0 + static_cast<double>(below(4)), 0,
+                        1.0 + static_cast<double>(below(9))};
+            s.image = "img-" + std::to_string(below(3));
+            s.spread = below(3) == 0;
+            s.oneZone = !s.spread && below(4) == 0;
+            s.spotAllowed = below(2) == 0;
+            s.checkpointS = below(2) == 0 ? 10 : 0;
+            if (below(4) == 0) {
+                s.shape = Shape::service;
+                s.jobClass = "web";
+                s.spotAllowed = false;
+            } else if (below(6) == 0) {
+                s.shape = Shape::gang;
+            }
+            if (cluster->submit(s, clock.now(), clock.wall()) == Submitted::fresh)
+                ids.push_back(s.id);
+        } else if (what < 6) {
+            place();
+        } else if (what < 9) {
+            commit();
+        } else if (what == 9 && !ids.empty()) {
+            cluster->cancel(*cluster->find(ids[below(ids.size())]));
+        } else if (what == 10) {
+            clock.advance(std::chrono::milliseconds(200 * below(20)));
+            cluster->expire(clock.now());
+        } else if (what == 11 && below(12) == 0) {
+            cluster->machineGone(cluster->indexOf(all[below(all.size())].report.machine),
+                                 clock.now());
+        } else if (what == 11 && below(12) == 0) {
+            commit();
+            takeOver();
+        } else if (what == 12 && below(4) == 0) {
+            cluster->setDraining(cluster->indexOf(all[below(all.size())].report.machine),
+                                 below(2) == 0);
+        } else {
+            Worker& w = all[below(all.size())];
+            if (below(30) == 0) w.newSession();
+            if (below(60) == 0) w.report.notice = 20s;
+            for (std::size_t t = 0; t < w.report.tasks.size(); ++t) {
+                if (w.report.tasks[t].status == TaskStatus::exited || below(6) != 0) continue;
+                const std::size_t how = below(10);
+                w.set(t, how == 0 ? TaskStatus::pulling : TaskStatus::exited,
+                      how < 7    ? ExitCause::done
+                      : how == 7 ? ExitCause::error
+                      : how == 8 ? ExitCause::full
+                                 : ExitCause::stopped);
+            }
+            exchange(w);
+        }
+        ASSERT_EQ(cluster->check(), "") << "after step " << step;
+    }
+    EXPECT_GT(cluster->jobCount(), 50U);
+}
+
+TEST_F(ClusterTest, ABeatAndAPlacementCostTheSameInALargeFleet) {
+    // Every placement once looked at every machine and all that was on it: at some hundred
+    // machines a leader's share of a core was gone.
+    settings.teams.push_back({"green", 0, 0, 0, 0});
+    const auto looksIn = [&](std::size_t machines) {
+        cluster = make(5);
+        std::vector<Worker> all;
+        for (std::size_t i = 0; i < machines; ++i) {
+            all.emplace_back("n-" + std::to_string(i), i % 2 == 0 ? "a" : "b", i % 3 == 0);
+            exchange(all.back());
+        }
+        JobSpec filler = testing::spec("run-0", static_cast<std::uint32_t>(machines) * 2 - 4);
+        filler.team = "green";
+        submit(filler);
+        place();
+        commit();
+        for (int round = 0; round < 3; ++round)
+            for (auto& w : all) exchange(w);
+        EXPECT_EQ(cluster->find("run-0")->runningCount, filler.tasks);
+        place();  // sees what the launches changed
+        std::uint64_t before = cluster->looks();
+        for (auto& w : all) exchange(w);
+        place();
+        EXPECT_EQ(cluster->looks(), before) << "beats that tell nothing new";
+        JobSpec web = testing::spec("run-1", 3);
+        web.team = "green";
+        submit(web);
+        before = cluster->looks();
+        place();
+        EXPECT_EQ(cluster->find("run-1")->boundCount, 3U);
+        JobSpec more = testing::spec("run-2", 500);  // all is full: nothing is found, cheaply
+        more.team = "green";
+        submit(more);
+        place();
+        return cluster->looks() - before;
+    };
+    const auto small = looksIn(20), large = looksIn(2000);
+    EXPECT_LE(large, small + 4);
+    EXPECT_LE(large, 30U);
+}
+
 }  // namespace
 }  // namespace basaltchute::scheduler
--- a/src/scheduler/guarantees.cpp
+++ b/src/scheduler/guarantees.cpp
@@ -14,7 +14,14 @@
 using workers::Machine;
 
 void Cluster::setCatalogue(fleet::Catalogue catalogue) {
+    const bool sameTypes =
+        std::equal(catalogue.begin(), catalogue.end(), catalogue_.begin(), catalogue_.end(),
+                   [](const auto& a, const auto& b) {
+                       return a.first == b.first && a.second.capacity == b.second.capacity;
+                   });
     catalogue_ = std::move(catalogue);
+    if (sameTypes) return;  // prices move, and nothing here follows them
+    for (MachineIndex i = 0; i < machines_.size(); ++i) changed(i);
     for (const auto& [name, type] : catalogue_) {
         if (pools_.contains(name)) continue;
         cells::Shape shape;
@@ -84,6 +91,7 @@
         return;
     }
     guaranteedUse_[c.job->spec.team] += c.job->spec.demand;
+    for (const MachineIndex buddy : pool->buddies(machine)) changed(buddy);
     const auto it = shared_.find({m.type, c.cells.front()});
     if (it == shared_.end()) return;
     it->second.used += slots;
@@ -97,6 +105,7 @@
     if (c.lowSlots > 0) pool->use(machine, -static_cast<int>(c.lowSlots));
     if (c.cells.empty()) return;
     guaranteedUse_[c.job->spec.team] -= c.job->spec.demand;
+    for (const MachineIndex buddy : pool->buddies(machine)) changed(buddy);
     const auto it = shared_.find({m.type, c.cells.front()});
     if (it != shared_.end()) {
         it->second.used -= slotsFor(c.job->spec, m.type);
@@ -154,7 +163,7 @@
         if (!typeAllowed(job.spec, type)) continue;
         const std::uint32_t slots = slotsFor(job.spec, type);
         const auto usable = [&](MachineIndex m) {
-            return placeable(job, m, now) && allowed(job, machines_[m], {});
+            return placeable(job, m, now) && allowed(job, machines_[m]);
         };
         std::optional<std::vector<CellIndex>> found;
         for (const auto& [key, s] : shared_) {
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -14,15 +14,12 @@
 
 namespace {
 
-constexpr double epsilon = 1e-6;  // amounts are decimal fractions
-constexpr int warmRoom = 3;       // tasks of a class that must start at once
+constexpr std::uint32_t warmRoom = 3;  // places for tasks of a class that must start at once
 constexpr Duration overdueTurn = 240s;
-constexpr Duration settledReplica = 40s;  // a start that is stopped sooner does not count as one
-
-bool fits(const Demand& need, const Demand& have) {
-    return need.cores <= have.cores + epsilon && need.gpus <= have.gpus + epsilon &&
-           need.ramGb <= have.ramGb + epsilon;
-}
+constexpr Duration settledReplica = 40s;     // a start that is stopped sooner does not count as one
+constexpr Duration nextLook = 1s;            // what waits is looked at again, as its order changes
+constexpr std::size_t victimsLookedAt = 24;  // machines compared before work is stopped on one
+constexpr std::uint32_t stoppedAtOnce = 32;  // tasks for which a job has work stopped in a pass
 
 }  // namespace
 
@@ -56,25 +53,24 @@
     return free;
 }
 
-bool Cluster::allowed(const Job& job, const Machine& m, const Planned& planned) const {
+bool Cluster::allowed(const Job& job, const std::string& type, const std::string& zone, bool spot,
+                      const Planned& planned) const {
     const JobSpec& s = job.spec;
-    if (m.spot && !s.spotAllowed) return false;
-    if (!typeAllowed(s, m.type)) return false;
-    if (s.zone && *s.zone != m.zone) return false;
+    if (spot && !s.spotAllowed) return false;
+    if (!typeAllowed(s, type)) return false;
+    if (s.zone && *s.zone != zone) return false;
     if (!s.oneZone && !s.spread) return true;
-    // Judged against everything of the job that may be somewhere, not only what is reported.
+    // Judged against everything of the job that may be somewhere, not only what is reported. A
+    // machine that has not reported yet may be in any zone.
     std::uint32_t here = 0;
-    for (const auto& other : machines_) {
-        for (const auto& c : other.charges) {
-            if (c.job != &job) continue;
-            if (other.zone == m.zone)
-                ++here;
-            else if (s.oneZone)
-                return false;
-        }
+    for (const auto& [other, tasks] : job.perZone) {
+        if (other == zone || (other.empty() && s.spread))
+            here += tasks;
+        else if (s.oneZone)
+            return false;
     }
     for (const auto& [index, share] : planned) {
-        if (machines_[index].zone == m.zone)
+        if (machines_[index].zone == zone)
             here += share.tasks;
         else if (s.oneZone && share.tasks > 0)
             return false;
@@ -92,84 +88,72 @@
            (team->gpusMax <= 0 || now.gpus + job.spec.demand.gpus <= team->gpusMax + epsilon);
 }
 
+double Cluster::fetchTime(const JobSpec& s, const std::string& type) const {
+    const auto t = catalogue_.find(type);
+    return t == catalogue_.end() ? 0 : s.imageGb / std::max(t->second.fetchGbPerS, 1e-3);
+}
+
 double Cluster::startDelay(const JobSpec& s, const Machine& m) const {
     if (m.images.contains(s.image)) return 0;
-    const auto type = catalogue_.find(m.type);
-    if (type == catalogue_.end()) return 0;
-    const double fetch = s.imageGb / std::max(type->second.fetchGbPerS, 1e-3);
     // Joining a fetch that is under way costs only what is left of it.
-    for (const auto& c : m.charges)
-        if (c.job->spec.image == s.image) return fetch / 2;
-    return fetch;
-}
-
-void Cluster::findWarmClasses() {
-    warm_.clear();
-    for (const Job* job : open_) {
-        const JobSpec& s = job->spec;
-        if (s.spotAllowed || s.shape != Shape::service) continue;
-        const bool hurried = std::any_of(
-            settings_.objectives.begin(), settings_.objectives.end(),
-            [&](const auto& o) { return o.kind == "wait" && o.jobClass == s.jobClass; });
-        if (!hurried) continue;
-        WarmClass& w = warm_[s.jobClass];
-        w.sample = job;
-        w.images.insert(s.image);
-    }
+    const bool joins = std::any_of(m.charges.begin(), m.charges.end(),
+                                   [&](const Charge& c) { return c.job->spec.image == s.image; });
+    return fetchTime(s, m.type) / (joins ? 2 : 1);
 }
 
-bool Cluster::leavesWarmRoom(const Job& job, MachineIndex machine, TimePoint now) const {
-    for (const auto& [name, w] : warm_) {
-        const JobSpec& s = w.sample->spec;
-        if (s.priority >= job.spec.priority) continue;
-        for (const auto& image : w.images) {
-            if (!machines_[machine].images.contains(image)) continue;
-            int room = 0;
-            for (MachineIndex i = 0; i < machines_.size() && room < warmRoom; ++i) {
-                const Machine& m = machines_[i];
-                if (m.spot || m.draining || m.sick || !fresh(m, now) || !m.images.contains(image))
-                    continue;
-                Demand free = freeOn(m);
-                if (i == machine) free -= job.spec.demand;
-                for (; room < warmRoom && fits(s.demand, free); ++room) free -= s.demand;
-            }
-            if (room < warmRoom) return false;
-        }
-    }
-    return true;
+bool Cluster::wantsWarm(const JobSpec& s) const {
+    if (s.spotAllowed || s.shape != Shape::service) return false;
+    return std::any_of(settings_.objectives.begin(), settings_.objectives.end(),
+                       [&](const auto& o) { return o.kind == "wait" && o.jobClass == s.jobClass; });
 }
 
 bool Cluster::placeable(const Job& job, MachineIndex machine, TimePoint now) const {
-    const Machine& m = machines_[machine];
-    if (!fresh(m, now) || m.sick || m.draining || m.recalledAt || now < m.avoidUntil) return false;
     const auto failed = job.failedOn.find(machine);
-    return failed == job.failedOn.end() || now - failed->second >= 60s;
+    return room_.of(machine) != nullptr &&
+           (failed == job.failedOn.end() || now - failed->second >= 60s);
 }
 
 MachineIndex Cluster::pick(const Job& job, const Planned& planned, TimePoint now) const {
+    const JobSpec& s = job.spec;
     MachineIndex best = noMachine;
     double bestCost = std::numeric_limits<double>::infinity();
-    for (MachineIndex i = 0; i < machines_.size(); ++i) {
-        const Machine& m = machines_[i];
-        if (!placeable(job, i, now)) continue;
-        Demand free = freeOn(m);
-        if (const auto p = planned.find(i); p != planned.end()) free -= p->second.demand;
-        if (!fits(job.spec.demand, free)) continue;
-        if (!allowed(job, m, planned)) continue;
-        if (!m.spot && !leavesWarmRoom(job, i, now)) continue;
-        const Demand& whole = catalogue_.at(m.type).capacity;
+    const auto usable = [&](MachineIndex i) {
+        ++looks_;
+        if (!placeable(job, i, now) || !room_.staysWarm(i, s.demand, s.priority, warmRoom))
+            return false;
+        const auto p = planned.find(i);
+        if (p == planned.end()) return true;
+        Demand free = room_.of(i)->free;
+        free -= p->second.demand;
+        return fits(s.demand, free);
+    };
+    for (const auto& [key, pool] : room_.pools()) {
+        const auto& [type, zone, spot, distance] = key;
+        if (!allowed(job, type, zone, spot, planned)) continue;
+        const double whole = std::max(catalogue_.at(type).capacity.cores, 1.0);
         // Seconds until it runs, then: leave ordinary machines to work that needs them, and
-        // fill the fullest machine that has room so that whole ones stay whole.
-        double cost = startDelay(job.spec, m);
-        if (job.spec.spotAllowed && !m.spot) cost += 4;
-        cost += (free.cores - job.spec.demand.cores) / std::max(whole.cores, 1.0);
-        // Low-priority work keeps away from guaranteed cells, which may grow into its room.
-        if (const auto pool = pools_.find(m.type); pool != pools_.end())
-            cost += 0.5 * (2 - pool->second.distance(i));
-        if (cost < bestCost) {
-            bestCost = cost;
-            best = i;
-        }
+        // fill the fullest machine that has room so that whole ones stay whole. Low-priority
+        // work keeps away from guaranteed cells, which may grow into its room.
+        const double base = (s.spotAllowed && !spot ? 4 : 0) + 0.5 * (2 - distance);
+        const auto consider = [&](const RoomSet& machines, double delay) {
+            if (base + delay >= bestCost) return;
+            machines.ascend(s.demand, [&](MachineIndex i) {
+                if (!usable(i)) return false;
+                const double left = room_.of(i)->free.cores - s.demand.cores;
+                const double cost = base + delay + left / whole;
+                if (cost < bestCost) {
+                    bestCost = cost;
+                    best = i;
+                }
+                return true;
+            });
+        };
+        const double fetch = fetchTime(s, type);
+        if (const auto set = pool.cached.find(s.image); set != pool.cached.end())
+            consider(set->second, 0);
+        if (const auto set = pool.fetching.find(s.image); set != pool.fetching.end())
+            consider(set->second, fetch / 2);
+        consider(pool.all, fetch);
     }
     return best;
 }
@@ -194,58 +178,76 @@
         chosen.push_back(&c);
     }
     if (!fits(job.spec.demand, room)) return false;
-    for (const auto* c : chosen) {
-        // A gang with a member gone does no work: the rest makes room as well.
-        if (c->job->spec.shape == Shape::gang)
-            for (auto& t : c->job->tasks) t.stopping = t.state == TaskState::bound;
-        c->job->tasks[c->task].stopping = true;
-    }
-    effects_.push.insert(machine);
+    for (const auto* c : chosen) stop(*c->job, c->task);
     return false;
 }
 
-void Cluster::preemptFor(const Job& job, TimePoint now) {
-    // Choose the machine on which stopping the least recent work makes room.
-    MachineIndex best = noMachine;
-    std::vector<std::size_t> victims;
-    double bestLoss = std::numeric_limits<double>::infinity();
-    for (MachineIndex i = 0; i < machines_.size(); ++i) {
-        const Machine& m = machines_[i];
-        if (!fresh(m, now) || m.sick || m.draining || m.recalledAt || !allowed(job, m, {}))
-            continue;
-        Demand room = roomOnceStopped(m);
-        if (fits(job.spec.demand, room)) return;  // room is being made already
-        std::vector<std::pair<double, std::size_t>> candidates;
-        for (std::size_t k = 0; k < m.charges.size(); ++k) {
-            const Charge& c = m.charges[k];
-            if (mustStop(c) || !c.cells.empty() || c.job->spec.priority <= job.spec.priority)
-                continue;
-            const JobTask& t = c.job->tasks[c.task];
-            const double ran = t.phase == Phase::running ? toSeconds(now - t.runningSince) : 0;
-            const double lost = c.job->spec.checkpointS > 0 ? c.job->spec.saveS : ran;
-            candidates.emplace_back(lost, k);
-        }
-        std::sort(candidates.begin(), candidates.end());
-        std::vector<std::size_t> chosen;
-        double loss = startDelay(job.spec, m);
-        for (const auto& [lost, k] : candidates) {
-            if (fits(job.spec.demand, room)) break;
-            room += m.charges[k].job->spec.demand;
-            loss += lost + 1;
-            chosen.push_back(k);
-        }
-        if (fits(job.spec.demand, room) && loss < bestLoss) {
+bool Cluster::mayPreempt(Priority rank, const Charge& c) const {
+    return !mustStop(c) && c.cells.empty() && c.job->spec.priority > rank;
+}
+
+void Cluster::preemptFor(const Job& job, std::uint32_t tasks, TimePoint now) {
+    const JobSpec& s = job.spec;
+    if (s.priority == Priority::low) return;
+    const auto rank = static_cast<std::size_t>(s.priority);
+    Planned planned;  // room that is being made already
+    for (const auto& [machine, for_] : promises_) {
+        if (for_ != &job) continue;
+        ++planned[machine].tasks;
+        if (--tasks == 0) return;
+    }
+    for (tasks = std::min(tasks, stoppedAtOnce); tasks > 0; --tasks) {
+        // Choose the machine on which stopping the least recent work makes room.
+        MachineIndex best = noMachine;
+        std::vector<std::size_t> victims;
+        double bestLoss = std::numeric_limits<double>::infinity();
+        const auto weigh = [&](MachineIndex i) {
+            ++looks_;
+            const Machine& m = machines_[i];
+            Demand room = roomOnceStopped(m);
+            const auto [from, to] = promises_.equal_range(i);
+            for (auto p = from; p != to; ++p) room -= p->second->spec.demand;
+            std::vector<std::pair<double, std::size_t>> candidates;
+            for (std::size_t k = 0; k < m.charges.size(); ++k) {
+                const Charge& c = m.charges[k];
+                if (!mayPreempt(s.priority, c)) continue;
+                const JobTask& t = c.job->tasks[c.task];
+                const double ran = t.phase == Phase::running ? toSeconds(now - t.runningSince) : 0;
+                const double lost = c.job->spec.checkpointS > 0 ? c.job->spec.saveS : ran;
+                candidates.emplace_back(lost, k);
+            }
+            std::sort(candidates.begin(), candidates.end());
+            std::vector<std::size_t> chosen;
+            double loss = startDelay(s, m);
+            for (const auto& [lost, k] : candidates) {
+                if (fits(s.demand, room)) break;
+                room += m.charges[k].job->spec.demand;
+                loss += lost + 1;
+                chosen.push_back(k);
+            }
+            if (!fits(s.demand, room) || loss >= bestLoss) return;
             bestLoss = loss;
             best = i;
             victims = std::move(chosen);
+        };
+        for (const auto& [key, pool] : room_.pools()) {
+            const auto& [type, zone, spot, distance] = key;
+            if (!allowed(job, type, zone, spot, planned)) continue;
+            std::size_t looked = 0;
+            pool.reclaimable[rank].ascend(s.demand, [&](MachineIndex i) {
+                if (placeable(job, i, now)) weigh(i);
+                return ++looked >= victimsLookedAt;
+            });
         }
+        if (best == noMachine) return;
+        std::vector<std::pair<Job*, std::uint32_t>> stopped;
+        for (const std::size_t k : victims)
+            stopped.emplace_back(machines_[best].charges[k].job, machines_[best].charges[k].task);
+        for (const auto& [victim, task] : stopped) stop(*victim, task);
+        promises_.emplace(best, &job);
+        ++planned[best].tasks;
+        settle();
     }
-    if (best == noMachine) return;
-    for (const std::size_t k : victims) {
-        const Charge& c = machines_[best].charges[k];
-        c.job->tasks[c.task].stopping = true;
-    }
-    effects_.push.insert(best);
 }
 
 bool Cluster::placeGang(Job& job, TimePoint now) {
@@ -265,67 +267,82 @@
     return true;
 }
 
-void Cluster::place(TimePoint now) {
+bool Cluster::worthPlacing() {
+    if (waiting_.empty()) return false;
+    settle();
+    return newWork_ || room_.gains() != gainsSeen_ || now_ - lastPass_ >= nextLook;
+}
+
+bool Cluster::place(TimePoint now, std::size_t most) {
+    expire(now);
+    settle();
+    newWork_ = false;
+    gainsSeen_ = room_.gains();
+    lastPass_ = now;
     struct Entry {
-        Job* job;
         TimePoint due;
-        std::uint32_t next = 0;
+        Job* job;
     };
-    std::vector<Entry> queue;
-    findWarmClasses();
-    for (Job* job : open_) {
-        const std::uint32_t waiting = job->spec.tasks - job->doneCount - job->boundCount;
-        if (waiting > 0 && job->accepted() && now >= job->notBefore)
-            queue.push_back({job, due(*job, now)});
-    }
-    std::stable_sort(queue.begin(), queue.end(), [](const Entry& a, const Entry& b) {
-        return std::tie(a.job->spec.priority, a.due) < std::tie(b.job->spec.priority, b.due);
-    });
-    // Within a priority the team that uses least goes next: max-min, one task at a time.
-    for (auto from = queue.begin(); from != queue.end();) {
-        auto to = std::find_if(from, queue.end(), [&](const Entry& e) {
-            return e.job->spec.priority != from->job->spec.priority;
-        });
-        std::vector<Entry*> live;
-        for (auto e = from; e != to; ++e) live.push_back(&*e);
-        while (!live.empty()) {
-            const auto least = std::min_element(live.begin(), live.end(), [&](Entry* a, Entry* b) {
-                return teamUse_[a->job->spec.team].cores / weightOf(a->job->spec.team) <
-                       teamUse_[b->job->spec.team].cores / weightOf(b->job->spec.team);
+    // By rank and team, what is due first goes first.
+    std::map<Priority, std::map<std::string, std::vector<Entry>>> ranks;
+    for (Job* job : waiting_)
+        if (now >= job->notBefore)
+            ranks[job->spec.priority][job->spec.team].push_back({due(*job, now), job});
+    for (auto& [rank, teams] : ranks) {
+        for (auto& [team, jobs] : teams)  // the next one last
+            std::sort(jobs.begin(), jobs.end(), [](const Entry& a, const Entry& b) {
+                return std::tie(a.due, a.job->submitted, a.job->spec.id) >
+                       std::tie(b.due, b.job->submitted, b.job->spec.id);
             });
-            Entry& e = **least;
-            Job& job = *e.job;
-            while (e.next < job.spec.tasks && job.tasks[e.next].state != TaskState::waiting)
-                ++e.next;
-            if (e.next >= job.spec.tasks || !withinLimit(job)) {
-                live.erase(least);
+        // Within a rank the team that uses least goes next: max-min, one task at a time.
+        const auto use = [&](const auto& team) {
+            return teamUse_[team.first].cores / weightOf(team.first);
+        };
+        while (!teams.empty()) {
+            const auto least =
+                std::min_element(teams.begin(), teams.end(),
+                                 [&](const auto& a, const auto& b) { return use(a) < use(b); });
+            auto& jobs = least->second;
+            if (jobs.empty()) {
+                teams.erase(least);
                 continue;
             }
-            if (job.spec.shape != Shape::gang && withinGuarantee(job) &&
-                placeGuaranteed(job, e.next, now))
+            Job& job = *jobs.back().job;
+            if (job.waitingCount() == 0 || !withinLimit(job)) {
+                jobs.pop_back();
                 continue;
+            }
+            if (most == 0) return true;
+            --most;
             if (job.spec.shape == Shape::gang) {
-                if (!placeGang(job, now) && job.spec.priority != Priority::low)
-                    preemptFor(job, now);
-                live.erase(least);
+                if (!placeGang(job, now)) preemptFor(job, job.waitingCount(), now);
+                jobs.pop_back();
+                settle();
+                continue;
+            }
+            const std::uint32_t task = job.nextWaiting();
+            if (withinGuarantee(job) && placeGuaranteed(job, task, now)) {
+                settle();
                 continue;
             }
             const MachineIndex m = pick(job, {}, now);
             if (m == noMachine) {
-                if (job.spec.priority != Priority::low) preemptFor(job, now);
-                live.erase(least);
+                preemptFor(job, job.waitingCount(), now);
+                jobs.pop_back();
                 continue;
             }
-            spdlog::debug("{}/{} goes to {} after {:.2f} s, image in {:.1f} s", job.spec.id, e.next,
+            spdlog::debug("{}/{} goes to {} after {:.2f} s, image in {:.1f} s", job.spec.id, task,
                           machines_[m].name, toSeconds(now - job.submittedAt),
                           startDelay(job.spec, machines_[m]));
-            bind(job, e.next, m);
+            bind(job, task, m);
+            settle();
         }
-        from = to;
     }
+    return false;
 }
 
 void Cluster::moveReplicas(MachineIndex machine, TimePoint now) {
+    settle();
     const auto moving = [&](const Charge& c) { return mustStop(c); };
     Machine& m = machines_[machine];
     if (std::any_of(m.charges.begin(), m.charges.end(), moving)) return;  // one at a time
@@ -335,8 +352,7 @@
         if (task.phase != Phase::running || now - task.runningSince < settledReplica) continue;
         const MachineIndex to = pick(*c.job, {}, now);
         if (to == noMachine || startDelay(c.job->spec, machines_[to]) > 0) continue;
-        task.stopping = true;
-        effects_.push.insert(machine);
+        stop(*c.job, c.task);
         return;
     }
 }
--- a/src/workers/machine.h
+++ b/src/workers/machine.h
@@ -1,4 +1,5 @@
 #pragma once
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -27,6 +28,7 @@
     bool recovered = false;      // bound by a former leader
     bool ghost = false;          // on the machine, but not where its task belongs
     bool stopSent = false;
+    std::uint64_t listedIn = 0;           // the last report that mentioned it running
     std::vector<cells::CellIndex> cells;  // of its team's reservation; none: low priority
     std::uint32_t lowSlots = 0;           // counted in the low-priority view
 };
@@ -55,6 +57,8 @@
     bool draining = false;  // to be returned: it gets no more work
     TimePoint upSince{};
     bool directBusy = false;
+    TimePoint attendAt = TimePoint::max();  // when the passing of time next changes something here
+    bool changed = false;                   // its offer of room has to be made anew
 
     [[nodiscard]] bool up() const { return presence == Presence::up; }
 };
@@ -83,7 +87,7 @@
     [[nodiscard]] auto end() const { return all_.end(); }
 
   private:
-    std::vector<Machine> all_;
+    std::deque<Machine> all_;  // references stay valid as it grows
     std::unordered_map<std::string, MachineIndex> byName_;
 };
 
