Rent as many machines at once as are lacking, from all zones alike

Change: up to 50 a request (the cloud's limit), all calls of a plan at once within its rate, the same from each zone; the right to act is asked right before a call leaves.

--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -33,6 +33,7 @@
       scope_(loop),
       written_(loop),
       kicked_(loop),
+      rented_(loop),
       cluster_(settings, leadership.token()),
       writer_(loop, state, settings.txnOps, std::move(guard),
               {[this](const std::string& key) { return cluster_.encode(key); },
@@ -43,7 +44,7 @@
                },
                [this] { written_.notify(); },
                [this] { leadership_.stepDown("another leader's key is in place"); }}),
-      cloud_(loop, settings),
+      cloud_(loop, settings, [this] { return leadership_.mayAct(); }),
       fleet_(cluster_, loop.now()) {
     cluster_.setOperator(operatorSettings);
 }
@@ -153,20 +154,30 @@
                 kick();
             }
         }
-        for (const auto& rent : plan.rent) {
-            if (!leadership_.mayAct()) break;
-            const auto result = co_await cloud_.rent(rent, scope_);
-            if (scope_.cancelled()) co_return;
-            if (result.answer == fleet::Cloud::Answer::ok)
-                fleet_.rented(rent, result.names, loop_.now());
-            else
-                fleet_.rentFailed(rent, result.answer == fleet::Cloud::Answer::refused,
-                                  loop_.now());
-        }
+        co_await rentAll(plan.rent);
         co_await loop_.sleep(1s, scope_);
     }
 }
 
+Task<void> Reign::rentAll(std::vector<fleet::Rent> wanted) {
+    for (auto& rent : wanted) scope_.spawn(rentOne(std::move(rent)));
+    while (renting_ > 0 && !scope_.cancelled())
+        co_await loop_.wait(rented_, TimePoint::max(), scope_);
+}
+
+Task<void> Reign::rentOne(fleet::Rent wanted) {
+    if (!leadership_.mayAct()) co_return;
+    ++renting_;
+    const auto result = co_await cloud_.rent(wanted, scope_);
+    --renting_;
+    rented_.notify();
+    if (scope_.cancelled()) co_return;
+    if (result.answer == fleet::Cloud::Answer::ok)
+        fleet_.rented(wanted, result.names, loop_.now());
+    else
+        fleet_.rentFailed(wanted, result.answer == fleet::Cloud::Answer::refused, loop_.now());
+}
+
 http::Response Reign::later() const {
     http::Response r = refuse(503, "not now");
     const double backlog = static_cast<double>(writer_.backlog()) / settings_.stateWriteRps;
--- a/src/app/reign.h
+++ b/src/app/reign.h
@@ -36,6 +36,10 @@
     Task<void> schedule();
     Task<void> direct(MachineIndex machine);
     Task<void> manageFleet();
+    /// Rents all at once, within the cloud's rate: one call after the other is too slow for a
+    /// wave of machines taken away.
+    Task<void> rentAll(std::vector<fleet::Rent> wanted);
+    Task<void> rentOne(fleet::Rent wanted);
     /// Waits for a fact to stand in the state service; false if it cannot soon.
     template <typename Fact>
     Task<bool> stands(Fact fact);
@@ -47,12 +51,13 @@
     state::Client& state_;
     Leadership& leadership_;
     Scope scope_;
-    Event written_, kicked_;
+    Event written_, kicked_, rented_;
     scheduler::Cluster cluster_;
     state::Writer writer_;
     fleet::Cloud cloud_;
     fleet::Fleet fleet_;
     std::unordered_map<MachineIndex, std::shared_ptr<http::Client>> direct_;
+    std::size_t renting_ = 0;
     bool loaded_ = false, dirty_ = false;
 };
 
--- a/src/fleet/cloud.cpp
+++ b/src/fleet/cloud.cpp
@@ -8,14 +8,18 @@
 
 using namespace std::chrono_literals;
 
-Cloud::Cloud(Loop& loop, const settings::Settings& s)
-    : loop_(loop), http_(loop, s.cloud, 3), calls_(s.cloudRps * 0.8, s.cloudRps, loop.now()) {}
+Cloud::Cloud(Loop& loop, const settings::Settings& s, std::function<bool()> mayAct)
+    : loop_(loop),
+      http_(loop, s.cloud, 4),
+      calls_(s.cloudRps * 0.8, s.cloudRps, loop.now()),
+      mayAct_(std::move(mayAct)) {}
 
 Task<http::Outcome> Cloud::send(http::Request request, Scope& scope) {
     while (!calls_.take(loop_.now())) {
         const Wake woke = co_await loop_.sleep(calls_.until(loop_.now()), scope);
         if (woke == Wake::cancelled) co_return http::Outcome{};
     }
+    if (!mayAct_()) co_return http::Outcome{};
     auto outcome = co_await http_.request(std::move(request), 5s, scope);
     co_return outcome;
 }
--- a/src/fleet/cloud.h
+++ b/src/fleet/cloud.h
@@ -1,4 +1,5 @@
 #pragma once
+#include <functional>
 #include <optional>
 
 #include "fleet/fleet.h"
@@ -10,7 +11,9 @@
 /// The cloud by its published protocol. Malformed answers count as no answer.
 class Cloud {
   public:
-    Cloud(Loop& loop, const settings::Settings& settings);
+    /// `mayAct` is asked right before anything is sent: the right may have ended while a call
+    /// waited for its turn.
+    Cloud(Loop& loop, const settings::Settings& settings, std::function<bool()> mayAct);
     Task<std::optional<Catalogue>> catalogue(Scope& scope);
     Task<std::optional<std::vector<Listed>>> list(Scope& scope);
     enum class Answer { ok, refused, unknown };
@@ -27,6 +30,7 @@
     Loop& loop_;
     http::Client http_;
     Budget calls_;
+    std::function<bool()> mayAct_;
 };
 
 }  // namespace basaltchute::fleet
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 constexpr Duration refusalPause = 15s;
-constexpr std::size_t maxComing = 24;
+constexpr unsigned maxPerRequest = 50, maxPerDeletion = 100;  // the cloud takes no more
 constexpr Duration rise = 6s, fall = 40s;  // of the target for classes whose starts may wait
 constexpr double warmMargin = 4;           // of a warm class's peak: jobs come in bursts
 constexpr Duration worthDeleting = 10s;    // of a silent machine's lease still to run
@@ -163,26 +163,18 @@
         // Work that may use spot machines uses ordinary ones where it finds no others.
         return have.ordinary - c >= target_.ordinary + ordinaryForSpot(have);
     };
-    std::vector<MachineIndex> candidates;
+    // Those with least on them first, and of those the dearest.
+    std::vector<std::tuple<double, double, MachineIndex>> candidates;
     for (MachineIndex i = 0; i < cluster_.machines().size(); ++i) {
         const Machine& m = cluster_.machines()[i];
-        if (cluster_.fresh(m, now) && !m.sick && !m.draining && now - m.upSince > spareHold)
-            candidates.push_back(i);
+        if (!cluster_.fresh(m, now) || m.sick || m.draining || now - m.upSince <= spareHold)
+            continue;
+        double used = 0;
+        for (const auto& c : m.charges) used += c.job->spec.demand.cores;
+        candidates.emplace_back(used, -pricePerCore(cluster_.catalogue().at(m.type), m.spot), i);
     }
-    // Those with least on them first, and of those the dearest.
-    const auto used = [&](MachineIndex i) {
-        double cores = 0;
-        for (const auto& c : cluster_.machines()[i].charges) cores += c.job->spec.demand.cores;
-        return cores;
-    };
-    std::sort(candidates.begin(), candidates.end(), [&](MachineIndex a, MachineIndex b) {
-        const auto key = [&](MachineIndex i) {
-            const Machine& m = cluster_.machines()[i];
-            return std::make_pair(used(i), -pricePerCore(cluster_.catalogue().at(m.type), m.spot));
-        };
-        return key(a) < key(b);
-    });
-    for (const MachineIndex i : candidates) {
+    std::sort(candidates.begin(), candidates.end());
+    for (const auto& [used, price, i] : candidates) {
         const Machine& m = cluster_.machines()[i];
         if (!surplus(m)) {
             surplusSince_.erase(i);
@@ -197,7 +189,7 @@
 }
 
 void Fleet::emptyDraining(TimePoint now) {
-    const Have have = this->have(true);
+    Have have = this->have(true);
     for (MachineIndex i = 0; i < cluster_.machines().size(); ++i) {
         const Machine& m = cluster_.machines()[i];
         if (!m.draining || !m.up()) continue;
@@ -211,7 +203,8 @@
         if (wanted && !dead_.contains(m.name)) {
             cluster_.setDraining(i, false);
             surplusSince_.erase(i);
-            return;
+            (m.spot ? have.spot : have.ordinary) += coresOf(m.type);
+            continue;
         }
         cluster_.moveReplicas(i, now);
     }
@@ -259,20 +252,20 @@
         emptyDraining(now);
     }
     plan.remove.assign(dead_.begin(), dead_.end());
-    if (plan.remove.size() > 100) plan.remove.resize(100);
+    if (plan.remove.size() > maxPerDeletion) plan.remove.resize(maxPerDeletion);
     return plan;
 }
 
 void Fleet::grow(TimePoint now, Plan& plan) {
     for (const auto& [pool, rent] : unsettled_) plan.rent.push_back(rent);
-    if (coming_.size() >= maxComing) return;
     for (const auto& [name, t] : cluster_.catalogue()) {
         std::uint32_t n = ordinaryOf(name);
         for (const auto& zone : t.zones) {
             const Pool pool{name, zone, false};
             if (n >= heldOf(name) || unsettled_.contains(pool) || refusedUntil_[pool] > now)
                 continue;
-            plan.rent.push_back({nextBooking(), name, zone, false, std::min(4U, heldOf(name) - n)});
+            plan.rent.push_back(
+                {nextBooking(), name, zone, false, std::min(maxPerRequest, heldOf(name) - n)});
             n += plan.rent.back().count;
         }
     }
@@ -303,14 +296,20 @@
         return pricePerCore(*a, spot) < pricePerCore(*b, spot);
     });
     for (const auto* t : byPrice) {
+        const double each = std::max(t->capacity.cores, 1.0);
+        std::vector<const std::string*> zones;
         for (const auto& zone : t->zones) {
             const Pool pool{t->name, zone, spot};
+            if (!unsettled_.contains(pool) && refusedUntil_[pool] <= now) zones.push_back(&zone);
+        }
+        // The same from each zone: replicas are spread, and a zone may be lost.
+        for (std::size_t left = zones.size(); left > 0; --left) {
             if (lack <= 0) return 0;
-            if (unsettled_.contains(pool) || refusedUntil_[pool] > now) continue;
-            const auto n = static_cast<unsigned>(
-                std::clamp(std::ceil(lack / std::max(t->capacity.cores, 1.0)), 1.0, 4.0));
-            plan.rent.push_back({nextBooking(), t->name, zone, spot, n});
-            lack -= n * t->capacity.cores;
+            const auto n =
+                static_cast<unsigned>(std::clamp(std::ceil(lack / each / static_cast<double>(left)),
+                                                 1.0, static_cast<double>(maxPerRequest)));
+            plan.rent.push_back({nextBooking(), t->name, *zones[left - 1], spot, n});
+            lack -= n * each;
         }
     }
     return std::max(0.0, lack);
