Free the room of work stopped before its launch; machines for deadlines only when late

Late jobs made fresh ones late in a burst. An array that met three sick machines was taken for a mistake, and the machines were not. Change: such a task is released at once; ordinary machines follow a forecast of which waiting work would start too late; replicas and passing work keep off each other's ordinary machines; what can still meet all objectives goes first; a job some of whose tasks run is sound.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -17,6 +17,7 @@
 constexpr Duration rise = 6s, fall = 40s;  // of the target for classes whose starts may wait
 constexpr double warmMargin = 4;           // of a warm class's peak: jobs come in bursts
 constexpr Duration worthDeleting = 10s;    // of a silent machine's lease still to run
+constexpr double runMargin = 1.2;          // owners' estimates of run times are rough
 constexpr Duration spareHold = 30s;        // how long an idle machine beyond the target is kept
 }  // namespace
 
@@ -98,8 +99,14 @@
         // Services: what runs, and room for a few more at once.
         if (c.warm && !c.spotAllowed) want = c.now * 1.1 + 4 * c.largestJob;
         (c.spotAllowed ? target_.spot : target_.ordinary) += want;
-        if (c.spotAllowed) target_.spotNow += c.now;
     }
+    // What such work uses of ordinary machines it keeps until it has run.
+    for (const auto& m : cluster_.machines()) {
+        if (!m.up() || m.spot) continue;
+        for (const auto& c : m.charges)
+            if (c.job->spec.spotAllowed) target_.ordinaryForSpot += c.job->spec.demand.cores;
+    }
+    target_.ordinaryForSpot += lackForDeadlines(now);
 }
 
 double Fleet::coresOf(const std::string& type) const {
@@ -135,9 +142,38 @@
     });
 }
 
-double Fleet::ordinaryForSpot(const Have& have) const {
-    // What only has a deadline can wait for a spot machine about as long as it runs.
-    return std::max(0.0, warm_ ? target_.spot - have.spot : target_.spotNow - have.spot * 2);
+double Fleet::lackForDeadlines(TimePoint now) const {
+    // Served in the order of their latest start by what is there, whose cores come free once in a
+    // run: what would start too late needs machines of its own, if they are up by then.
+    struct Wait {
+        TimePoint by;
+        double cores;
+    };
+    std::vector<Wait> queue;
+    double running = 0, seconds = 0, open = 0;
+    Duration boot = Duration::zero();
+    for (const auto& [name, t] : cluster_.catalogue())
+        if (servesSpot(name)) boot = std::max(boot, t.boot);
+    for (const Job* job : cluster_.openJobs()) {
+        const JobSpec& s = job->spec;
+        if (!s.spotAllowed || classes_.at(s.jobClass).warm) continue;
+        running += s.demand.cores * job->boundCount;
+        const double left = s.demand.cores * (s.tasks - job->doneCount);
+        open += left;
+        seconds += left * std::max(1.0, toSeconds(cluster_.runTime(s)));
+        if (job->waitingCount() > 0 && now >= job->notBefore)
+            queue.push_back({cluster_.turn(*job, now).by, s.demand.cores * job->waitingCount()});
+    }
+    if (queue.empty()) return 0;
+    std::sort(queue.begin(), queue.end(), [](const Wait& a, const Wait& b) { return a.by < b.by; });
+    const double run = runMargin * seconds / open;
+    const double rate = std::max(running, have(true).spot) / run;  // cores that come free a second
+    double lack = 0, ahead = 0;
+    for (const Wait& w : queue) {
+        ahead += w.cores;
+        if (w.by - now > boot) lack = std::max(lack, ahead - rate * toSeconds(w.by - now));
+    }
+    return lack;
 }
 
 std::uint32_t Fleet::heldOf(const std::string& type) const {
@@ -155,13 +191,15 @@
 
 void Fleet::shrink(TimePoint now) {
     Have have = this->have(false);
+    const double forSpot =
+        warm_ ? std::max(0.0, target_.spot - have.spot) : target_.ordinaryForSpot;
     const auto surplus = [&](const Machine& m) {
         const double c = coresOf(m.type);
         if (m.spot && !servesSpot(m.type)) return true;
         if (m.spot) return have.spot - c >= target_.spot;
         if (heldOf(m.type) > 0 && ordinaryOf(m.type) <= heldOf(m.type)) return false;
         // Work that may use spot machines uses ordinary ones where it finds no others.
-        return have.ordinary - c >= target_.ordinary + ordinaryForSpot(have);
+        return have.ordinary - c >= target_.ordinary + forSpot;
     };
     // Those with least on them first, and of those the dearest.
     std::vector<std::tuple<double, double, MachineIndex>> candidates;
@@ -279,7 +317,7 @@
     if (warm_)
         rentFor(left, Kind::ordinaryForSpotWork, now, plan);
     else if (left > 0)
-        rentFor(ordinaryForSpot(have) - spare, Kind::ordinaryForSpotWork, now, plan);
+        rentFor(target_.ordinaryForSpot - spare, Kind::ordinaryForSpotWork, now, plan);
 }
 
 std::string Fleet::nextBooking() {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -26,9 +26,9 @@
 
 /// Cores that the fleet should have, by the kind of machine that may serve them.
 struct Target {
-    double ordinary = 0;  // for work that must not run on spot machines
-    double spot = 0;      // for work that may
-    double spotNow = 0;   // what such work would use if all of it ran at this moment
+    double ordinary = 0;         // for work that must not run on spot machines
+    double spot = 0;             // for work that may
+    double ordinaryForSpot = 0;  // ordinary ones for work that would miss its deadline on spot ones
 };
 
 /// Decides which machines to rent and to return. Pure: the cloud's answers come in as values.
@@ -56,6 +56,8 @@
         double now = 0, smooth = 0, peak = 0, largestJob = 0;
     };
     void measure(TimePoint now);
+    /// Cores that must be added for waiting work with deadlines to start in time.
+    [[nodiscard]] double lackForDeadlines(TimePoint now) const;
     void replaceStuck(TimePoint now);
     void shrink(TimePoint now);
     void giveUpSilent(TimePoint now);
@@ -69,7 +71,6 @@
     struct Have {
         double ordinary = 0, spot = 0;  // cores that can be given work
     };
-    [[nodiscard]] double ordinaryForSpot(const Have& have) const;
     [[nodiscard]] Have have(bool withComing) const;
     [[nodiscard]] bool servesSpot(const std::string& type) const;
     [[nodiscard]] double coresOf(const std::string& type) const;
--- a/src/scheduler/cluster.cpp
+++ b/src/scheduler/cluster.cpp
@@ -25,6 +25,7 @@
 namespace {
 constexpr Duration leaseMargin = 500ms;
 constexpr Duration recallMargin = 2500ms;
+constexpr Duration soundAfter = 15s;    // a task that ran this long has a sound job
 constexpr std::size_t maxOrders = 300;  // an answer is one line of at most 64 KiB
 
 /// The longest a worker may still hold a lease that was renewed at `t` by our clock.
@@ -282,6 +283,16 @@
 void Cluster::stop(Job& job, std::uint32_t task) {
     const auto one = [&](JobTask& t) {
         if (t.state != TaskState::bound || t.stopping) return;
+        auto& charges = machines_[t.machine].charges;
+        const auto c = std::find_if(charges.begin(), charges.end(), [&](const Charge& x) {
+            return x.job == &job && &job.tasks[x.task] == &t && x.attempt == t.attempt;
+        });
+        if (c != charges.end() && !c->sent) {
+            // Its launch never left, so there is nothing to stop and nothing will be reported:
+            // told to stop, such a task once kept its room for good.
+            release(t.machine, static_cast<std::size_t>(c - charges.begin()));
+            return;
+        }
         t.stopping = true;
         effects_.push.insert(t.machine);
         changed(t.machine);
@@ -315,7 +326,8 @@
 }
 
 void Cluster::saveBeforeRecall(MachineIndex machine, TimePoint now) {
-    Machine& m = machines_[machine];
+    const Machine& m = machines_[machine];
+    std::vector<std::pair<Job*, std::uint32_t>> due;
     for (const auto& c : m.charges) {
         const JobTask& task = c.job->tasks[c.task];
         const JobSpec& spec = c.job->spec;
@@ -325,8 +337,9 @@
         if (now < last)
             attendAt(machine, last);
         else
-            stop(*c.job, c.task);
+            due.emplace_back(c.job, c.task);
     }
+    for (const auto& [job, task] : due) stop(*job, task);
 }
 
 void Cluster::attendAt(MachineIndex machine, TimePoint at) {
@@ -386,13 +399,20 @@
     m.avoidUntil = now + 10s;
     changed(index);
     attendAt(index, m.avoidUntil);
-    // A job that fails wherever it goes is at fault itself; a machine that fails several jobs is.
-    if (job.failedOn.size() >= 3) {
+    // A job that fails wherever it goes is at fault itself, unless some of its tasks do run: then
+    // it only met several sick machines, as a large array does when dozens are sick at once.
+    const bool sound =
+        job.doneCount > 0 || std::any_of(job.tasks.begin(), job.tasks.end(), [&](const JobTask& t) {
+            return t.state == TaskState::bound && t.phase == Phase::running &&
+                   now - t.runningSince >= soundAfter;
+        });
+    if (!sound && job.failedOn.size() >= 3) {
+        for (const auto& [at, when] : job.failedOn) machines_[at].failedJobs.erase(job.spec.id);
         const auto tries = std::min<std::uint32_t>(job.failures, 8);
         job.notBefore = now + std::min<Duration>(60s, 1s * (1U << tries) / 4);
         return;
     }
-    if (m.failedJobs.size() >= 2 && !m.sick) {
+    if ((m.failedJobs.size() >= 2 || (sound && m.failures >= 2)) && !m.sick) {
         m.sick = true;
         spdlog::warn("machine {} fails its tasks: no more work for it", m.name);
     }
@@ -678,6 +698,7 @@
         for (std::size_t rank = 0; rank < Offer::preempting; ++rank)
             if (mustStop(c) || mayPreempt(static_cast<Priority>(rank), c))
                 o.reclaimable[rank] += c.job->spec.demand;
+        o.lasting = o.lasting || c.job->spec.shape == Shape::service;
         if (!m.images.contains(c.job->spec.image)) o.fetching.push_back(c.job->spec.image);
     }
     std::sort(o.fetching.begin(), o.fetching.end());
--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -66,6 +66,19 @@
     /// has room: stopped and started again it is away for a moment only.
     void moveReplicas(MachineIndex machine, TimePoint now);
 
+    /// How many of its objectives a waiting job can no longer meet, and by when it must start to
+    /// meet the next one.
+    struct Turn {
+        std::size_t missed = 0;
+        TimePoint by = TimePoint::max();
+        auto operator<=>(const Turn&) const = default;
+    };
+    [[nodiscard]] Turn turn(const Job& job, TimePoint now) const;
+    /// How long a task of it runs, by its owner's estimate and what such estimates were worth.
+    [[nodiscard]] Duration runTime(const JobSpec& s) const {
+        return fromSeconds(s.estimateS * biasOf(s.jobClass));
+    }
+
     void setCatalogue(fleet::Catalogue catalogue);
     [[nodiscard]] const fleet::Catalogue& catalogue() const { return catalogue_; }
     /// Where a machine stands, known from now on if it was not.
@@ -131,7 +144,6 @@
     [[nodiscard]] double weightOf(const std::string& team) const;
 
     // Placement
-    [[nodiscard]] TimePoint due(const Job& job, TimePoint now) const;
     [[nodiscard]] double biasOf(const std::string& jobClass) const;
     [[nodiscard]] bool typeAllowed(const JobSpec& s, const std::string& type) const;
     struct Share {
--- a/src/scheduler/cluster_test.cpp
+++ b/src/scheduler/cluster_test.cpp
@@ -349,6 +349,70 @@
     EXPECT_EQ(victim.boundCount, 1U);
 }
 
+TEST_F(ClusterTest, WorkStoppedBeforeItsLaunchLeftGivesItsRoomBackAtOnce) {
+    // Such tasks were to be stopped for good: never launched, never reported, never released.
+    Worker w("n-1");
+    exchange(w);
+    Job& low = submit(testing::spec("run-1", 2));
+    place();
+    JobSpec high = testing::spec("run-2", 2);
+    high.priority = Priority::production;
+    Job& winner = submit(high);
+    place();
+    place();
+    EXPECT_EQ(winner.boundCount, 2U);
+    EXPECT_EQ(low.waitingCount(), 2U);
+    commit();
+    exchange(w);
+    EXPECT_EQ(w.report.tasks.size(), 2U);
+    EXPECT_EQ(w.report.tasks[0].job, "run-2");
+}
+
+TEST_F(ClusterTest, AGangThatLosesAMemberToAHigherRankStopsWhole) {
+    Worker w("n-1"), v("n-2");
+    JobSpec gang = testing::spec("run-1", 4);
+    gang.shape = Shape::gang;
+    exchange(w);
+    exchange(v);
+    submit(gang);
+    place();
+    commit();
+    for (int i = 0; i < 2; ++i) {
+        exchange(w);
+        exchange(v);
+    }
+    JobSpec high = testing::spec("run-2");
+    high.priority = Priority::production;
+    submit(high);
+    place();
+    EXPECT_EQ(beat(w).size() + beat(v).size(), 4U);
+}
+
+TEST_F(ClusterTest, ALargeArrayThatMeetsSickMachinesIsNotBlamed) {
+    // With dozens sick at once a large array fails on several and was taken for its owner's
+    // mistake; the machines went on failing everybody's tasks.
+    std::vector<Worker> all;
+    for (int i = 0; i < 6; ++i) all.emplace_back("n-" + std::to_string(i));
+    for (auto& w : all) exchange(w);
+    Job& job = submit(testing::spec("run-1", 12));
+    place();
+    commit();
+    for (auto& w : all) exchange(w);
+    for (auto& w : all) exchange(w);
+    clock.advance(4s);
+    for (auto& w : all) exchange(w);
+    clock.advance(4s);
+    for (auto& w : all) exchange(w);
+    clock.advance(8s);
+    for (std::size_t i = 0; i < 4; ++i) {
+        for (std::size_t t = 0; t < 2; ++t) all[i].set(t, TaskStatus::exited, ExitCause::error);
+        exchange(all[i]);
+    }
+    EXPECT_LE(job.notBefore, clock.now());
+    for (std::size_t i = 0; i < 6; ++i)
+        EXPECT_EQ(cluster->machines()[static_cast<MachineIndex>(i)].sick, i < 4) << i;
+}
+
 TEST_F(ClusterTest, WhatCanStillMeetItsObjectiveGoesBeforeWhatMissedIt) {
     settings.objectives = {{"wait", "c", 15s, 0.8}};
     JobSpec late = testing::spec("run-1", 2);
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -23,21 +23,37 @@
 
 }  // namespace
 
-TimePoint Cluster::due(const Job& job, TimePoint now) const {
-    // The next moment by which starting a task still serves an objective. What has missed them
-    // all goes behind what can still be met, but not for ever: its turn comes by age.
-    TimePoint next = TimePoint::max();
-    const Duration run = fromSeconds(job.spec.estimateS * biasOf(job.spec.jobClass));
-    const auto consider = [&](TimePoint latestStart) {
-        if (latestStart >= now) next = std::min(next, latestStart);
+Cluster::Turn Cluster::turn(const Job& job, TimePoint now) const {
+    Turn u;
+    Duration last = overdueTurn;
+    const Duration run = runTime(job.spec);
+    const auto consider = [&](Duration within, Duration needs) {
+        last = std::max(last, within * 4);
+        const TimePoint latestStart = job.submittedAt + within - needs;
+        if (latestStart < now)
+            ++u.missed;
+        else
+            u.by = std::min(u.by, latestStart);
     };
-    if (job.spec.deadlineS) consider(job.submittedAt + fromSeconds(*job.spec.deadlineS) - run);
+    bool deadlines = false;
     for (const auto& o : settings_.objectives) {
         if (o.jobClass != job.spec.jobClass) continue;
-        if (o.kind == "wait") consider(job.submittedAt + o.within);
-        if (o.kind == "finished") consider(job.submittedAt + o.within - run);
+        if (o.kind == "wait") consider(o.within, Duration::zero());
+        if (o.kind == "finished") consider(o.within, run);
+        if (o.kind == "deadline" && job.spec.deadlineS) {
+            deadlines = true;
+            consider(fromSeconds(*job.spec.deadlineS * o.times), run);
+        }
+    }
+    if (job.spec.deadlineS && !deadlines) consider(fromSeconds(*job.spec.deadlineS), run);
+    // A start that meets every objective is worth more than one that meets the rest: in a burst
+    // what is late would make all that follows late as well. What has missed them all waits, but
+    // not for ever: its turn comes by age.
+    if (u.by == TimePoint::max()) {
+        u.by = job.submittedAt + last;
+        if (u.by <= now) u.missed = 0;
     }
-    return next == TimePoint::max() ? job.submittedAt + overdueTurn : next;
+    return u;
 }
 
 double Cluster::biasOf(const std::string& jobClass) const {
@@ -128,13 +144,17 @@
         return fits(s.demand, free);
     };
     for (const auto& [key, pool] : room_.pools()) {
-        const auto& [type, zone, spot, distance] = key;
+        const auto& [type, zone, spot, lasting, distance] = key;
         if (!allowed(job, type, zone, spot, planned)) continue;
         const double whole = std::max(catalogue_.at(type).capacity.cores, 1.0);
         // Seconds until it runs, then: leave ordinary machines to work that needs them, and
         // fill the fullest machine that has room so that whole ones stay whole. Low-priority
         // work keeps away from guaranteed cells, which may grow into its room.
-        const double base = (s.spotAllowed && !spot ? 4 : 0) + 0.5 * (2 - distance);
+        // What comes and goes keeps off ordinary machines with replicas, and replicas off the
+        // others, so that a machine taken for a peak is empty after it.
+        const bool mixes = !spot && lasting != (s.shape == Shape::service);
+        const double base =
+            (s.spotAllowed && !spot ? 4 : 0) + (mixes ? 1 : 0) + 0.5 * (2 - distance);
         const auto consider = [&](const RoomSet& machines, double delay) {
             if (base + delay >= bestCost) return;
             machines.ascend(s.demand, [&](MachineIndex i) {
@@ -170,15 +190,15 @@
     Machine& m = machines_[machine];
     if (fits(job.spec.demand, freeOn(m))) return true;
     Demand room = roomOnceStopped(m);
-    std::vector<const Charge*> chosen;
+    std::vector<std::pair<Job*, std::uint32_t>> chosen;
     for (const auto& c : m.charges) {
         if (fits(job.spec.demand, room)) break;
         if (mustStop(c) || !victim(c)) continue;
         room += c.job->spec.demand;
-        chosen.push_back(&c);
+        chosen.emplace_back(c.job, c.task);
     }
     if (!fits(job.spec.demand, room)) return false;
-    for (const auto* c : chosen) stop(*c->job, c->task);
+    for (const auto& [victim, task] : chosen) stop(*victim, task);
     return false;
 }
 
@@ -206,7 +226,10 @@
             const Machine& m = machines_[i];
             Demand room = roomOnceStopped(m);
             const auto [from, to] = promises_.equal_range(i);
-            for (auto p = from; p != to; ++p) room -= p->second->spec.demand;
+            for (auto p = from; p != to; ++p)
+                if (p->second != &job) room -= p->second->spec.demand;
+            if (const auto own = planned.find(i); own != planned.end())
+                for (std::uint32_t n = 0; n < own->second.tasks; ++n) room -= s.demand;
             std::vector<std::pair<double, std::size_t>> candidates;
             for (std::size_t k = 0; k < m.charges.size(); ++k) {
                 const Charge& c = m.charges[k];
@@ -231,7 +254,7 @@
             victims = std::move(chosen);
         };
         for (const auto& [key, pool] : room_.pools()) {
-            const auto& [type, zone, spot, distance] = key;
+            const auto& [type, zone, spot, lasting, distance] = key;
             if (!allowed(job, type, zone, spot, planned)) continue;
             std::size_t looked = 0;
             pool.reclaimable[rank].ascend(s.demand, [&](MachineIndex i) {
@@ -280,19 +303,19 @@
     gainsSeen_ = room_.gains();
     lastPass_ = now;
     struct Entry {
-        TimePoint due;
+        Turn turn;
         Job* job;
     };
     // By rank and team, what is due first goes first.
     std::map<Priority, std::map<std::string, std::vector<Entry>>> ranks;
     for (Job* job : waiting_)
         if (now >= job->notBefore)
-            ranks[job->spec.priority][job->spec.team].push_back({due(*job, now), job});
+            ranks[job->spec.priority][job->spec.team].push_back({turn(*job, now), job});
     for (auto& [rank, teams] : ranks) {
         for (auto& [team, jobs] : teams)  // the next one last
             std::sort(jobs.begin(), jobs.end(), [](const Entry& a, const Entry& b) {
-                return std::tie(a.due, a.job->submitted, a.job->spec.id) >
-                       std::tie(b.due, b.job->submitted, b.job->spec.id);
+                return std::tie(a.turn, a.job->submitted, a.job->spec.id) >
+                       std::tie(b.turn, b.job->submitted, b.job->spec.id);
             });
         // Within a rank the team that uses least goes next: max-min, one task at a time.
         const auto use = [&](const auto& team) {
--- a/src/scheduler/room.cpp
+++ b/src/scheduler/room.cpp
@@ -36,7 +36,7 @@
 }
 
 void Room::list(MachineIndex machine, const Offer& o) {
-    Pool& pool = pools_[{o.type, o.zone, o.spot, o.distance}];
+    Pool& pool = pools_[{o.type, o.zone, o.spot, o.lasting, o.distance}];
     pool.all.insert(o.free, machine);
     for (const auto& image : o.images) pool.cached[image].insert(o.free, machine);
     for (const auto& image : o.fetching) pool.fetching[image].insert(o.free, machine);
@@ -47,7 +47,7 @@
 }
 
 void Room::unlist(MachineIndex machine, const Offer& o) {
-    const auto at = pools_.find({o.type, o.zone, o.spot, o.distance});
+    const auto at = pools_.find({o.type, o.zone, o.spot, o.lasting, o.distance});
     Pool& pool = at->second;
     const auto drop = [&](std::map<std::string, RoomSet>& sets, const std::string& image) {
         const auto set = sets.find(image);
--- a/src/scheduler/room.h
+++ b/src/scheduler/room.h
@@ -26,8 +26,9 @@
 struct Offer {
     std::string type, zone;
     bool spot = false;
-    int distance = 2;  // from guaranteed cells
-    Demand free;       // beside all that is possibly on it
+    bool lasting = false;  // has replicas on it
+    int distance = 2;      // from guaranteed cells
+    Demand free;           // beside all that is possibly on it
     /// By rank: what would be free if all gave way that may be stopped for work of that rank.
     static constexpr std::size_t preempting = 3;
     std::array<Demand, preempting> reclaimable;
@@ -82,7 +83,8 @@
         std::array<RoomSet, Offer::preempting> reclaimable;
         bool operator==(const Pool&) const = default;
     };
-    using PoolKey = std::tuple<std::string, std::string, bool, int>;  // type, zone, spot, distance
+    /// Type, zone, spot, lasting, distance.
+    using PoolKey = std::tuple<std::string, std::string, bool, bool, int>;
 
     void offer(MachineIndex machine, const Offer& offer);
     void withdraw(MachineIndex machine);
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -93,7 +93,8 @@
     });
     params.each("objectives", [&](const json::Value&, Reader r) {
         s.objectives.push_back({r.text("kind"), r.text("class"),
-                                fromSeconds(r.amountOr("within_s", 0)), r.amountOr("share", 0)});
+                                fromSeconds(r.amountOr("within_s", 0)), r.amountOr("share", 0),
+                                r.amountOr("times", 1)});
     });
     Reader workers = params.object("workers");
     s.reportEvery = fromSeconds(workers.positive("report_s"));
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -19,6 +19,7 @@
     std::string kind, jobClass;
     Duration within{};
     double share = 0;
+    double times = 1;  // of the job's own deadline, where that is what counts
 };
 
 /// What the platform hands to each controller.
