--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -98,9 +98,7 @@
                                                          : stateFor(std::move(r));
              },
              [this](const mesh::Pledge& p) { return leadership_.pledge(p.token, p.hold); }}),
-      server_(loop, settings_.listen,
-              http::ServerLimits{settings_.sockets > 400 ? settings_.sockets - 200
-                                                         : settings_.sockets / 2},
+      server_(loop, settings_.listen, http::ServerLimits{settings_.servedSockets()},
               [this](http::Request r) { return handle(std::move(r)); }),
       leaderSeen_(loop.now()) {
     if (settings_.peers.empty()) return;
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -45,7 +45,8 @@
                [this] { written_.notify(); },
                [this] { leadership_.stepDown("another leader's key is in place"); }}),
       cloud_(loop, settings, [this] { return leadership_.mayAct(); }),
-      fleet_(cluster_, loop.now()) {
+      fleet_(cluster_, loop.now()),
+      direct_(loop, settings.directSockets()) {
     cluster_.setOperator(operatorSettings);
 }
 
@@ -105,9 +106,7 @@
         const auto orders = cluster_.directOrders(machine, loop_.now());
         if (orders.empty()) co_return;
         const workers::Machine& m = cluster_.machines()[machine];
-        auto& client = direct_[machine];
-        if (!client) client = std::make_shared<http::Client>(loop_, m.address, 1);
-        const auto held = client;
+        const auto held = direct_.to(machine, m.address);
         http::Outcome o;
         if (leadership_.mayAct()) {
             http::Request request{"POST", "/commands",
--- a/src/app/reign.h
+++ b/src/app/reign.h
@@ -1,13 +1,12 @@
 #pragma once
 #include <memory>
-#include <unordered_map>
 
 #include "fleet/cloud.h"
 #include "fleet/fleet.h"
-#include "http/client.h"
 #include "leadership/leadership.h"
 #include "scheduler/cluster.h"
 #include "state/writer.h"
+#include "workers/connections.h"
 
 namespace basaltchute::app {
 
@@ -56,7 +55,7 @@
     state::Writer writer_;
     fleet::Cloud cloud_;
     fleet::Fleet fleet_;
-    std::unordered_map<MachineIndex, std::shared_ptr<http::Client>> direct_;
+    workers::Connections direct_;
     std::size_t renting_ = 0;
     bool loaded_ = false, dirty_ = false;
 };
--- a/src/runtime/budget.h
+++ b/src/runtime/budget.h
@@ -15,6 +15,7 @@
         at_ = now;
         return have_;
     }
+    [[nodiscard]] double burst() const { return burst_; }
     bool take(TimePoint now, double n = 1) {
         if (available(now) < n) return false;
         have_ -= n;
--- a/src/scheduler/cluster.cpp
+++ b/src/scheduler/cluster.cpp
@@ -224,7 +224,8 @@
     t.state = TaskState::done;
     t.machine = noMachine;
     ++job.doneCount;
-    touch(job, task, Urgency::rest);
+    // Users wait for the last result, nobody for those before it.
+    touch(job, task, job.allDone() ? Urgency::bindings : Urgency::rest);
     if (job.allDone())
         closed(job);
     else
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -35,6 +35,10 @@
     double cloudRps = 0;
     Duration listLag{};
     std::size_t sockets = 0;
+    /// Of the sockets, a third is for direct orders to workers; what users and workers open may
+    /// take the rest, less a few for the peers, the state service and the cloud.
+    [[nodiscard]] std::size_t directSockets() const { return sockets / 3; }
+    [[nodiscard]] std::size_t servedSockets() const { return sockets - sockets / 3 - sockets / 12; }
 };
 
 /// One line: which field is wrong and what was expected there.
--- a/src/state/writer.cpp
+++ b/src/state/writer.cpp
@@ -11,6 +11,7 @@
 namespace {
 constexpr std::size_t maxTransactions = 3;
 constexpr std::size_t maxBatchBytes = 48 * 1024;
+constexpr double keptShare = 0.3;     // of a burst of writes, for what is urgent
 constexpr Duration coalesce = 250ms;  // how long the least urgent wait for company
 constexpr Duration pauseAfterRefusal = 150ms;
 }  // namespace
@@ -24,28 +25,34 @@
       wake_(loop) {}
 
 void Writer::dirty(const std::string& key, Urgency urgency) {
-    auto [it, fresh] = queue_.try_emplace(key, Waiting{urgency, loop_.now()});
-    if (!fresh) it->second.urgency = std::min(it->second.urgency, urgency);
+    enqueue(key, {urgency, loop_.now()});
     wake_.notify();
 }
 
-std::vector<std::string> Writer::nextBatch(TimePoint now) {
-    std::vector<std::pair<Waiting, const std::string*>> ready;
-    bool due = false;
-    for (const auto& [key, w] : queue_) {
-        if (inFlight_.contains(key)) continue;
-        ready.emplace_back(w, &key);
-        due = due || w.urgency != Urgency::rest || now - w.since >= coalesce;
+void Writer::enqueue(const std::string& key, Rank rank) {
+    const auto [it, fresh] = queue_.try_emplace(key, rank);
+    if (!fresh) {
+        const Rank before = it->second;
+        if (before.first <= rank.first && before.second <= rank.second) return;
+        byRank_.erase({before, key});
+        it->second = {std::min(before.first, rank.first), std::min(before.second, rank.second)};
     }
+    if (!inFlight_.contains(key)) byRank_.emplace(it->second, key);
+}
+
+std::vector<std::string> Writer::nextBatch(TimePoint now) {
     std::vector<std::string> keys;
+    if (byRank_.empty()) return keys;
+    const bool due = byRank_.begin()->first.first != Urgency::rest ||
+                     now - byRank_.begin()->first.second >= coalesce;
     if (!due) return keys;
-    std::sort(ready.begin(), ready.end(), [](const auto& a, const auto& b) {
-        return std::tie(a.first.urgency, a.first.since) < std::tie(b.first.urgency, b.first.since);
-    });
-    const auto room = static_cast<std::size_t>(client_.writes().available(now));
-    for (const auto& r : ready) {
-        if (keys.size() >= std::min(room, txnOps_)) break;
-        keys.push_back(*r.second);
+    const double available = client_.writes().available(now);
+    for (const auto& [rank, key] : byRank_) {
+        // What users wait for never finds the budget spent on what nobody waits for.
+        const double kept = rank.first == Urgency::rest ? client_.writes().burst() * keptShare : 0;
+        if (keys.size() >= txnOps_ || static_cast<double>(keys.size()) + 1 > available - kept)
+            break;
+        keys.push_back(key);
     }
     return keys;
 }
@@ -70,7 +77,7 @@
     Transaction txn;
     txn.guards.push_back(leader_);
     std::vector<std::pair<std::string, std::uint64_t>> versions;
-    std::map<std::string, Waiting> taken;
+    std::vector<std::pair<std::string, Rank>> taken;
     std::size_t bytes = 0;
     for (const auto& key : keys) {
         Encoded e = hooks_.encode(key);
@@ -79,13 +86,21 @@
         txn.guards.push_back({key, revisions_[key]});
         txn.puts.push_back({key, std::move(e.data), std::nullopt});
         versions.emplace_back(key, e.version);
-        taken.insert(queue_.extract(key));
+        const auto waiting = queue_.find(key);
+        byRank_.erase({waiting->second, key});
+        taken.emplace_back(*waiting);
+        queue_.erase(waiting);
         inFlight_.insert(key);
     }
     client_.writes().take(loop_.now(), static_cast<double>(versions.size()));
     Committed result = co_await client_.commit(std::move(txn), scope);
     --transactions_;
-    for (const auto& v : versions) inFlight_.erase(v.first);
+    for (const auto& [key, version] : versions) {
+        inFlight_.erase(key);
+        // Changed again meanwhile: it may be written again now.
+        if (const auto again = queue_.find(key); again != queue_.end())
+            byRank_.emplace(again->second, key);
+    }
     if (scope.cancelled()) co_return;
 
     if (result.verdict == Verdict::ok) {
@@ -95,10 +110,7 @@
             hooks_.committed(key, version);
         }
     } else {
-        for (auto& [key, w] : taken) {
-            auto [it, fresh] = queue_.try_emplace(key, w);
-            if (!fresh) it->second = {std::min(it->second.urgency, w.urgency), w.since};
-        }
+        for (const auto& [key, rank] : taken) enqueue(key, rank);
         if (result.verdict == Verdict::conflict) {
             if (std::find(result.failed.begin(), result.failed.end(), leader_.key) !=
                 result.failed.end()) {
--- a/src/state/writer.h
+++ b/src/state/writer.h
@@ -39,10 +39,8 @@
     [[nodiscard]] std::size_t backlog() const { return queue_.size(); }
 
   private:
-    struct Waiting {
-        Urgency urgency;
-        TimePoint since;
-    };
+    using Rank = std::pair<Urgency, TimePoint>;
+    void enqueue(const std::string& key, Rank rank);
     std::vector<std::string> nextBatch(TimePoint now);
     Task<void> write(std::vector<std::string> keys, Scope& scope);
 
@@ -53,7 +51,8 @@
     Hooks hooks_;
     Event wake_;
     std::unordered_map<std::string, Revision> revisions_;
-    std::map<std::string, Waiting> queue_;
+    std::unordered_map<std::string, Rank> queue_;
+    std::set<std::pair<Rank, std::string>> byRank_;  // of those in the queue, what is not in flight
     std::set<std::string> inFlight_;
     std::size_t transactions_ = 0;
     TimePoint pauseUntil_{};
