Ask silent machines and give up those that do not answer

Change: a machine whose report is late is asked directly; two answers in vain and it is deleted, as long as a good part of its lease is left and no more than a fifth of the fleet is silent.

--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 constexpr Duration factPatience = 3s;
+constexpr Duration askPatience = 900ms;  // less than the time between two plans
 constexpr Duration tick = 250ms;
 constexpr Duration gather = 10ms;
 constexpr std::size_t slice = 64;  // tasks placed before others get their turn
@@ -116,13 +117,7 @@
         if (scope_.cancelled()) co_return;
         const bool answered = o.answered && (o.response.status == 200 || o.response.status == 409);
         if (answered) {
-            if (const auto report = workers::parseReport(o.response.body)) {
-                if (report->token > cluster_.token()) {
-                    leadership_.stepDown("a worker has seen a higher token");
-                    co_return;
-                }
-                cluster_.report(*report, scheduler::Cluster::Source::direct, loop_.now());
-            }
+            if (!heed(o.response.body)) co_return;
         }
         cluster_.directEnded(machine, o.sent, answered);
         kick();
@@ -130,6 +125,28 @@
     }
 }
 
+bool Reign::heed(const std::string& body) {
+    const auto report = workers::parseReport(body);
+    if (!report) return true;
+    if (report->token > cluster_.token()) {
+        leadership_.stepDown("a worker has seen a higher token");
+        return false;
+    }
+    cluster_.report(*report, scheduler::Cluster::Source::direct, loop_.now());
+    return true;
+}
+
+Task<void> Reign::ask(MachineIndex machine) {
+    const auto client = direct_.to(machine, cluster_.machines()[machine].address);
+    http::Request request{"GET", "/inspect", ""};
+    const auto o = co_await client->request(std::move(request), askPatience, scope_);
+    if (scope_.cancelled()) co_return;
+    if (!o.answered)
+        cluster_.unanswered(machine);
+    else if (o.response.status == 200 && heed(o.response.body))
+        kick();
+}
+
 Task<void> Reign::manageFleet() {
     TimePoint catalogueAt{}, listAt{};
     while (!scope_.cancelled()) {
@@ -153,6 +170,7 @@
                 kick();
             }
         }
+        for (const MachineIndex machine : plan.ask) scope_.spawn(ask(machine));
         co_await rentAll(plan.rent);
         co_await loop_.sleep(1s, scope_);
     }
--- a/src/app/reign.h
+++ b/src/app/reign.h
@@ -34,6 +34,10 @@
     Task<void> load();
     Task<void> schedule();
     Task<void> direct(MachineIndex machine);
+    /// Takes in a report that came as an answer; false if it made this node step down.
+    bool heed(const std::string& body);
+    /// Asks a silent machine for a report: dead ones are told from late ones within seconds.
+    Task<void> ask(MachineIndex machine);
     Task<void> manageFleet();
     /// Rents all at once, within the cloud's rate: one call after the other is too slow for a
     /// wave of machines taken away.
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -18,7 +18,9 @@
 constexpr double warmMargin = 4;           // of a warm class's peak: jobs come in bursts
 constexpr Duration worthDeleting = 10s;    // of a silent machine's lease still to run
 constexpr double runMargin = 1.2;          // owners' estimates of run times are rough
-constexpr Duration spareHold = 30s;        // how long an idle machine beyond the target is kept
+constexpr Duration reportDelay = 1500ms;
+constexpr std::uint32_t askedInVain = 2;
+constexpr Duration spareHold = 30s;  // how long an idle machine beyond the target is kept
 }  // namespace
 
 void Fleet::listed(const std::vector<Listed>& all, TimePoint now) {
@@ -248,12 +250,14 @@
     }
 }
 
-void Fleet::giveUpSilent(TimePoint now) {
+void Fleet::giveUpSilent(TimePoint now, Plan& plan) {
     const auto& s = cluster_.settings();
-    const Duration patience = s.reportEvery * 7 / 2;
+    // Reports come as much as a quarter late.
+    const Duration overdue = s.reportEvery * 5 / 4 + reportDelay;
     std::size_t up = 0;
-    std::vector<const Machine*> silent;
-    for (const auto& m : cluster_.machines()) {
+    std::vector<const Machine*> lost;
+    for (MachineIndex i = 0; i < cluster_.machines().size(); ++i) {
+        const Machine& m = cluster_.machines()[i];
         if (!m.up()) continue;
         ++up;
         // Announced to be taken, and silent since: it is.
@@ -263,13 +267,17 @@
             continue;
         }
         // Waiting for its lease would leave its tasks down for longer than this takes.
-        if (now - m.heardAt > patience && !m.charges.empty() && m.leaseEnd - now > worthDeleting)
-            silent.push_back(&m);
+        if (now - m.heardAt <= overdue || m.charges.empty() || m.leaseEnd - now <= worthDeleting)
+            continue;
+        if (m.unanswered < askedInVain)
+            plan.ask.push_back(i);
+        else
+            lost.push_back(&m);
     }
     // Many at once is a cut of this node's own network, or its own starvation; the machines are
     // well and deleting them would be the damage.
-    if (silent.size() > std::max<std::size_t>(1, up / 8)) return;
-    for (const auto* m : silent) {
+    if (lost.size() + plan.ask.size() > std::max<std::size_t>(1, up / 5)) return;
+    for (const auto* m : lost) {
         if (dead_.insert(m->name).second)
             spdlog::warn("machine {} is silent: giving it up to free its {} tasks", m->name,
                          m->charges.size());
@@ -285,7 +293,7 @@
     // After a take-over machines first have to find the leader.
     if (everListed_ && now - since_ > 5s) grow(now, plan);
     if (everListed_ && now - since_ > 10s) {
-        giveUpSilent(now);
+        giveUpSilent(now, plan);
         shrink(now);
         emptyDraining(now);
     }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -22,6 +22,7 @@
 struct Plan {
     std::vector<Rent> rent;
     std::vector<std::string> remove;
+    std::vector<MachineIndex> ask;  // silent ones: whether they can be reached
 };
 
 /// Cores that the fleet should have, by the kind of machine that may serve them.
@@ -60,7 +61,7 @@
     [[nodiscard]] double lackForDeadlines(TimePoint now) const;
     void replaceStuck(TimePoint now);
     void shrink(TimePoint now);
-    void giveUpSilent(TimePoint now);
+    void giveUpSilent(TimePoint now, Plan& plan);
     void emptyDraining(TimePoint now);
     void grow(TimePoint now, Plan& plan);
     std::string nextBooking();
--- a/src/fleet/fleet_test.cpp
+++ b/src/fleet/fleet_test.cpp
@@ -98,34 +98,41 @@
     EXPECT_EQ(cluster.find("run-1")->boundCount, 2U);
 }
 
-TEST_F(FleetTest, GivesUpALoneSilentMachineButNotManyAtOnce) {
-    // A machine packed with replicas died, and they stayed down for a lease of 45 s.
+TEST_F(FleetTest, GivesUpMachinesThatDoNotAnswerButNotManyAtOnce) {
+    // Machines packed with replicas died, and those stayed down for a lease of 45 s.
     settings.lease = 45s;
+    settings.reportEvery = 10s;
     std::vector<Worker> all;
-    for (int i = 1; i <= 8; ++i) all.emplace_back("n-" + std::to_string(i));
+    for (int i = 1; i <= 20; ++i) all.emplace_back("n-" + std::to_string(i));
     const auto report = [&](std::size_t from) {
         for (std::size_t i = from; i < all.size(); ++i) {
             all[i].execute(cluster.beat(all[i].next(), clock.now()));
             all[i].report.token = cluster.token();
         }
     };
-    const auto run = [&](std::size_t silent) {
+    const auto run = [&](std::size_t silent, bool answers) {
         std::set<std::string> removed;
-        for (int i = 0; i < 15; ++i) {
+        for (int i = 0; i < 18; ++i) {
             clock.advance(1s);
             report(silent);
             fleet.listed({}, clock.now());
-            for (const auto& n : fleet.plan(clock.now()).remove) removed.insert(n);
+            const auto plan = fleet.plan(clock.now());
+            for (const auto m : plan.ask) {
+                if (!answers) cluster.unanswered(m);
+            }
+            removed.insert(plan.remove.begin(), plan.remove.end());
         }
         return removed;
     };
     report(0);
-    submit("run-1", 16);
+    submit("run-1", 40);
     cluster.place(clock.now());
-    EXPECT_TRUE(run(0).empty());
-    EXPECT_TRUE(run(3).empty()) << "three of eight at once: the fault is ours";
+    EXPECT_TRUE(run(0, false).empty());
+    EXPECT_TRUE(run(3, true).empty()) << "late, but there";
     report(0);
-    EXPECT_EQ(run(1), std::set<std::string>{"n-1"});
+    EXPECT_TRUE(run(7, false).empty()) << "seven of twenty at once: the fault is ours";
+    report(0);
+    EXPECT_EQ(run(3, false), (std::set<std::string>{"n-1", "n-2", "n-3"})) << "well within a lease";
 }
 
 TEST_F(FleetTest, RentsOnlyTypesThatATaskFitsOn) {
--- a/src/scheduler/cluster.cpp
+++ b/src/scheduler/cluster.cpp
@@ -547,6 +547,7 @@
         return;
     }
     m.heardAt = now;
+    m.unanswered = 0;
     if (room_.of(index) == nullptr) changed(index);  // silent for a while, or new
     attendAt(index, now + settings_.reportEvery * 2);
     if (r.notice) {
--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -51,6 +51,8 @@
     void report(const workers::Report& report, Source source, TimePoint now);
     std::vector<workers::Order> directOrders(MachineIndex machine, TimePoint now);
     void directEnded(MachineIndex machine, bool sent, bool answered);
+    /// It was silent and has not answered when asked either.
+    void unanswered(MachineIndex machine) { ++machines_[machine].unanswered; }
     void machineGone(MachineIndex machine, TimePoint now);
     /// The machine is to be returned, or is wanted again after all.
     void setDraining(MachineIndex machine, bool draining);
--- a/src/workers/machine.h
+++ b/src/workers/machine.h
@@ -57,6 +57,7 @@
     bool draining = false;  // to be returned: it gets no more work
     TimePoint upSince{};
     bool directBusy = false;
+    std::uint32_t unanswered = 0;           // times it was asked in vain since its last news
     TimePoint attendAt = TimePoint::max();  // when the passing of time next changes something here
     bool changed = false;                   // its offer of room has to be made anew
 
