Idle room for replicas that deadline work fills is no reason to rent

Change: such use counts only as far as spot machines are lacking; only late work has machines rented.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -102,13 +102,16 @@
         if (c.warm && !c.spotAllowed) want = c.now * 1.1 + 4 * c.largestJob;
         (c.spotAllowed ? target_.spot : target_.ordinary) += want;
     }
-    // What such work uses of ordinary machines it keeps until it has run.
+    // What such work uses of ordinary machines it keeps until it has run, as far as there are no
+    // spot machines for it; idle room for replicas that it fills meanwhile is no reason to rent.
     for (const auto& m : cluster_.machines()) {
         if (!m.up() || m.spot) continue;
         for (const auto& c : m.charges)
-            if (c.job->spec.spotAllowed) target_.ordinaryForSpot += c.job->spec.demand.cores;
+            if (c.job->spec.spotAllowed) target_.ordinaryUsed += c.job->spec.demand.cores;
     }
-    target_.ordinaryForSpot += lackForDeadlines(now);
+    target_.ordinaryUsed =
+        std::min(target_.ordinaryUsed, std::max(0.0, target_.spot - have(true).spot));
+    target_.late = lackForDeadlines(now);
 }
 
 double Fleet::coresOf(const std::string& type) const {
@@ -194,7 +197,7 @@
 void Fleet::shrink(TimePoint now) {
     Have have = this->have(false);
     const double forSpot =
-        warm_ ? std::max(0.0, target_.spot - have.spot) : target_.ordinaryForSpot;
+        warm_ ? std::max(0.0, target_.spot - have.spot) : target_.ordinaryUsed + target_.late;
     const auto surplus = [&](const Machine& m) {
         const double c = coresOf(m.type);
         if (m.spot && !servesSpot(m.type)) return true;
@@ -325,7 +328,8 @@
     if (warm_)
         rentFor(left, Kind::ordinaryForSpotWork, now, plan);
     else if (left > 0)
-        rentFor(target_.ordinaryForSpot - spare, Kind::ordinaryForSpotWork, now, plan);
+        rentFor(target_.late - std::max(0.0, spare - target_.ordinaryUsed),
+                Kind::ordinaryForSpotWork, now, plan);
 }
 
 std::string Fleet::nextBooking() {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -27,9 +27,10 @@
 
 /// Cores that the fleet should have, by the kind of machine that may serve them.
 struct Target {
-    double ordinary = 0;         // for work that must not run on spot machines
-    double spot = 0;             // for work that may
-    double ordinaryForSpot = 0;  // ordinary ones for work that would miss its deadline on spot ones
+    double ordinary = 0;      // for work that must not run on spot machines
+    double spot = 0;          // for work that may
+    double ordinaryUsed = 0;  // ordinary ones that such work uses for want of spot ones
+    double late = 0;          // more, for such work that would miss its deadline otherwise
 };
 
 /// Decides which machines to rent and to return. Pure: the cloud's answers come in as values.
