Put the largest jobs back when not all that wait can be in time

Cause: in a burst, serving in order of due times makes everybody late together. Change: with the pace at which cores come free, the largest jobs are put back to their next objective until the rest can be met (Moore and Hodgson's rule); each rank for itself, teams share as before.

--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -68,14 +68,16 @@
     /// has room: stopped and started again it is away for a moment only.
     void moveReplicas(MachineIndex machine, TimePoint now);
 
-    /// How many of its objectives a waiting job can no longer meet, and by when it must start to
-    /// meet the next one.
+    /// How many of its objectives a waiting job does not meet any more, and by when it must start
+    /// to meet the next one, if there is one.
     struct Turn {
         std::size_t missed = 0;
-        TimePoint by = TimePoint::max();
+        TimePoint by{};
+        bool hopes = false;
         auto operator<=>(const Turn&) const = default;
     };
-    [[nodiscard]] Turn turn(const Job& job, TimePoint now) const;
+    /// `given`: objectives that are given up although they could be met.
+    [[nodiscard]] Turn turn(const Job& job, TimePoint now, std::size_t given = 0) const;
     /// How long a task of it runs, by its owner's estimate and what such estimates were worth.
     [[nodiscard]] Duration runTime(const JobSpec& s) const {
         return fromSeconds(s.estimateS * biasOf(s.jobClass));
@@ -163,6 +165,14 @@
     /// Room is kept on machines that have such a class's images: its next tasks start at once.
     [[nodiscard]] bool wantsWarm(const JobSpec& s) const;
     MachineIndex pick(const Job& job, const Planned& planned, TimePoint now) const;
+    struct Entry {
+        Turn turn;
+        Job* job;
+    };
+    /// Jobs of one rank in the order in which they are to be placed.
+    [[nodiscard]] std::vector<Entry> inOrder(const std::vector<Job*>& jobs, TimePoint now) const;
+    /// Cores that tasks of a rank give back each second, by their run times.
+    void measurePace(TimePoint now);
     bool placeGang(Job& job, TimePoint now);
     [[nodiscard]] bool placeable(const Job& job, MachineIndex machine, TimePoint now) const;
     /// What is free on it when all that has been told to stop has gone.
@@ -200,6 +210,8 @@
     std::multimap<MachineIndex, const Job*> promises_;
     bool newWork_ = false;  // something waits that no pass has seen yet
     std::uint64_t gainsSeen_ = 0;
+    std::array<double, 4> pace_{};  // by rank
+    TimePoint pacedAt_{};
     TimePoint lastPass_{};
     mutable std::uint64_t looks_ = 0;
     std::unordered_map<std::string, double> bias_;  // log of run time over estimate, by class
--- a/src/scheduler/cluster_test.cpp
+++ b/src/scheduler/cluster_test.cpp
@@ -439,6 +439,26 @@
     EXPECT_EQ(cluster->find("run-1")->boundCount, 0U);
 }
 
+TEST_F(ClusterTest, WhenNotAllCanBeInTimeTheLargestJobIsPutBack) {
+    // In a burst, serving in order of due times made everybody late together.
+    settings.objectives = {{"wait", "c", 15s, 0.8}};
+    Worker w("n-1");
+    running(w, testing::spec("run-1", 2));  // 8 cores for 10 s: 12 come free in 15 s
+    submit(testing::spec("run-2", 4));      // would take 16
+    clock.advance(1s);
+    submit(testing::spec("run-3", 1));
+    submit(testing::spec("run-4", 1));
+    exchange(w);
+    place();
+    w.set(0, TaskStatus::exited, ExitCause::done);
+    w.set(1, TaskStatus::exited, ExitCause::done);
+    exchange(w);
+    place();
+    EXPECT_EQ(cluster->find("run-3")->boundCount, 1U);
+    EXPECT_EQ(cluster->find("run-4")->boundCount, 1U);
+    EXPECT_EQ(cluster->find("run-2")->boundCount, 0U);
+}
+
 TEST_F(ClusterTest, LeavesRoomForReplicasOnMachinesThatHaveTheirImage) {
     settings.objectives = {{"wait", "web", 1s, 0.9}};
     Worker w("n-1"), v("n-2"), spot("n-3", "a", true);
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -23,17 +23,18 @@
 
 }  // namespace
 
-Cluster::Turn Cluster::turn(const Job& job, TimePoint now) const {
-    Turn u;
+Cluster::Turn Cluster::turn(const Job& job, TimePoint now, std::size_t given) const {
     Duration last = overdueTurn;
     const Duration run = runTime(job.spec);
+    Turn u;
+    std::vector<TimePoint> open;  // latest starts that still serve an objective
     const auto consider = [&](Duration within, Duration needs) {
         last = std::max(last, within * 4);
         const TimePoint latestStart = job.submittedAt + within - needs;
         if (latestStart < now)
             ++u.missed;
         else
-            u.by = std::min(u.by, latestStart);
+            open.push_back(latestStart);
     };
     bool deadlines = false;
     for (const auto& o : settings_.objectives) {
@@ -46,16 +47,86 @@
         }
     }
     if (job.spec.deadlineS && !deadlines) consider(fromSeconds(*job.spec.deadlineS), run);
+    std::sort(open.begin(), open.end());
+    u.missed += std::min(given, open.size());
+    u.hopes = given < open.size();
+    if (u.hopes) {
+        u.by = open[given];
+        return u;
+    }
     // A start that meets every objective is worth more than one that meets the rest: in a burst
     // what is late would make all that follows late as well. What has missed them all waits, but
     // not for ever: its turn comes by age.
-    if (u.by == TimePoint::max()) {
-        u.by = job.submittedAt + last;
-        if (u.by <= now) u.missed = 0;
-    }
+    u.by = job.submittedAt + last;
+    if (u.by <= now) u.missed = 0;
     return u;
 }
 
+void Cluster::measurePace(TimePoint now) {
+    if (now - pacedAt_ < nextLook) return;
+    pacedAt_ = now;
+    std::array<double, 4> cores{}, seconds{};
+    for (const Job* job : open_) {
+        if (job->spec.shape == Shape::service || job->boundCount == 0) continue;
+        const auto rank = static_cast<std::size_t>(job->spec.priority);
+        const double bound = job->spec.demand.cores * job->boundCount;
+        cores[rank] += bound;
+        seconds[rank] += bound * std::max(1.0, toSeconds(runTime(job->spec)));
+    }
+    for (std::size_t rank = 0; rank < pace_.size(); ++rank)
+        pace_[rank] = cores[rank] > 0 ? cores[rank] * cores[rank] / seconds[rank] : 0;
+}
+
+std::vector<Cluster::Entry> Cluster::inOrder(const std::vector<Job*>& jobs, TimePoint now) const {
+    // By what is due first, as long as all of it can be served in time. Where it cannot, the
+    // largest jobs are put back to their next objective until the rest can: serving in order of
+    // due times would make everybody late together (Moore and Hodgson's rule).
+    std::map<std::size_t, std::vector<Entry>> tiers;
+    for (Job* job : jobs) {
+        const Turn t = turn(*job, now);
+        tiers[t.missed].push_back({t, job});
+    }
+    std::vector<Entry> order;
+    double ahead = 0;
+    for (auto tier = tiers.begin(); tier != tiers.end(); ++tier) {
+        auto& entries = tier->second;
+        std::sort(entries.begin(), entries.end(), [](const Entry& a, const Entry& b) {
+            return std::tie(a.turn, a.job->submitted, a.job->spec.id) <
+                   std::tie(b.turn, b.job->submitted, b.job->spec.id);
+        });
+        std::set<std::pair<double, std::size_t>> kept;  // by cores that wait
+        std::vector<bool> put(entries.size(), false);
+        for (std::size_t i = 0; i < entries.size(); ++i) {
+            const Entry& e = entries[i];
+            const double pace = pace_[static_cast<std::size_t>(e.job->spec.priority)];
+            const double work = e.job->spec.demand.cores * e.job->waitingCount();
+            ahead += work;
+            if (!e.turn.hopes || e.job->spec.shape == Shape::service || pace <= 0) continue;
+            kept.emplace(work, i);
+            while (!kept.empty() && ahead > pace * toSeconds(e.turn.by - now)) {
+                const auto largest = std::prev(kept.end());
+                ahead -= largest->first;
+                put[largest->second] = true;
+                kept.erase(largest);
+            }
+        }
+        for (std::size_t i = 0; i < entries.size(); ++i) {
+            if (!put[i]) {
+                order.push_back(entries[i]);
+                continue;
+            }
+            // What it could meet and gives up counts as missed; what it has missed does already.
+            std::size_t given = 1;
+            Turn later = turn(*entries[i].job, now, given);
+            while (later.missed <= tier->first && later.hopes)
+                later = turn(*entries[i].job, now, ++given);
+            later.missed = std::max(later.missed, tier->first + 1);
+            tiers[later.missed].push_back({later, entries[i].job});
+        }
+    }
+    return order;
+}
+
 double Cluster::biasOf(const std::string& jobClass) const {
     const auto it = bias_.find(jobClass);
     return it == bias_.end() ? 1.0 : std::exp(it->second);
@@ -302,21 +373,15 @@
     newWork_ = false;
     gainsSeen_ = room_.gains();
     lastPass_ = now;
-    struct Entry {
-        Turn turn;
-        Job* job;
-    };
-    // By rank and team, what is due first goes first.
-    std::map<Priority, std::map<std::string, std::vector<Entry>>> ranks;
+    measurePace(now);
+    std::map<Priority, std::vector<Job*>> ranks;
     for (Job* job : waiting_)
-        if (now >= job->notBefore)
-            ranks[job->spec.priority][job->spec.team].push_back({turn(*job, now), job});
-    for (auto& [rank, teams] : ranks) {
-        for (auto& [team, jobs] : teams)  // the next one last
-            std::sort(jobs.begin(), jobs.end(), [](const Entry& a, const Entry& b) {
-                return std::tie(a.turn, a.job->submitted, a.job->spec.id) >
-                       std::tie(b.turn, b.job->submitted, b.job->spec.id);
-            });
+        if (now >= job->notBefore) ranks[job->spec.priority].push_back(job);
+    for (const auto& [rank, waiting] : ranks) {
+        std::map<std::string, std::vector<Job*>> teams;  // the next job of each last
+        const auto order = inOrder(waiting, now);
+        for (auto e = order.rbegin(); e != order.rend(); ++e)
+            teams[e->job->spec.team].push_back(e->job);
         // Within a rank the team that uses least goes next: max-min, one task at a time.
         const auto use = [&](const auto& team) {
             return teamUse_[team.first].cores / weightOf(team.first);
@@ -330,7 +395,7 @@
                 teams.erase(least);
                 continue;
             }
-            Job& job = *jobs.back().job;
+            Job& job = *jobs.back();
             if (job.waitingCount() == 0 || !withinLimit(job)) {
                 jobs.pop_back();
                 continue;
