Sick after one failure of a sound job; machines the list has lost are deleted

Change: one failure of a job whose other tasks run condemns the machine; machines on record are asked at the address the cloud lists, and deleted if it lists them no longer.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -25,8 +25,11 @@
 
 void Fleet::listed(const std::vector<Listed>& all, TimePoint now) {
     everListed_ = true;
+    namesBefore_ = std::exchange(names_, {});
     for (const auto& l : all) {
         const auto index = cluster_.machines().find(l.name);
+        names_.insert(l.name);
+        if (index) cluster_.setAddress(*index, l.address);
         if (index && cluster_.machines()[*index].presence == Presence::gone) continue;
         if (l.status == "failed") {
             dead_.insert(l.name);
@@ -149,16 +152,14 @@
 
 double Fleet::lackForDeadlines(TimePoint now) const {
     // Served in the order of their latest start by what is there, whose cores come free once in a
-    // run: what would start too late needs machines of its own, if they are up by then.
+    // run: what would start too late needs machines of its own. Those that come too late for the
+    // shortest jobs serve the next such jobs.
     struct Wait {
         TimePoint by;
         double cores;
     };
     std::vector<Wait> queue;
     double running = 0, seconds = 0, open = 0;
-    Duration boot = Duration::zero();
-    for (const auto& [name, t] : cluster_.catalogue())
-        if (servesSpot(name)) boot = std::max(boot, t.boot);
     for (const Job* job : cluster_.openJobs()) {
         const JobSpec& s = job->spec;
         if (!s.spotAllowed || classes_.at(s.jobClass).warm) continue;
@@ -166,8 +167,9 @@
         const double left = s.demand.cores * (s.tasks - job->doneCount);
         open += left;
         seconds += left * std::max(1.0, toSeconds(cluster_.runTime(s)));
-        if (job->waitingCount() > 0 && now >= job->notBefore)
-            queue.push_back({cluster_.turn(*job, now).by, s.demand.cores * job->waitingCount()});
+        const auto turn = cluster_.turn(*job, now);
+        if (job->waitingCount() > 0 && now >= job->notBefore && turn.hopes)
+            queue.push_back({turn.by, s.demand.cores * job->waitingCount()});
     }
     if (queue.empty()) return 0;
     std::sort(queue.begin(), queue.end(), [](const Wait& a, const Wait& b) { return a.by < b.by; });
@@ -176,7 +178,7 @@
     double lack = 0, ahead = 0;
     for (const Wait& w : queue) {
         ahead += w.cores;
-        if (w.by - now > boot) lack = std::max(lack, ahead - rate * toSeconds(w.by - now));
+        lack = std::max(lack, ahead - rate * toSeconds(w.by - now));
     }
     return lack;
 }
@@ -261,8 +263,16 @@
     std::vector<const Machine*> lost;
     for (MachineIndex i = 0; i < cluster_.machines().size(); ++i) {
         const Machine& m = cluster_.machines()[i];
-        if (!m.up()) continue;
+        if (m.presence == Presence::gone || (!m.up() && m.charges.empty())) continue;
         ++up;
+        // What runs on it is on record, and it has not found this leader; a machine is listed
+        // until it is gone.
+        const bool listed = names_.contains(m.name) || namesBefore_.contains(m.name);
+        if (!m.up() && !listed && now - since_ > s.listLag * 2 + reportDelay) {
+            dead_.insert(m.name);
+            continue;
+        }
+        const TimePoint heard = m.up() ? m.heardAt : since_;
         // Announced to be taken, and silent since: it is.
         if (m.recalledAt && now > *m.recalledAt + s.reportEvery &&
             now - m.heardAt > s.reportEvery * 2) {
@@ -270,8 +280,9 @@
             continue;
         }
         // Waiting for its lease would leave its tasks down for longer than this takes.
-        if (now - m.heardAt <= overdue || m.charges.empty() || m.leaseEnd - now <= worthDeleting)
+        if (now - heard <= overdue || m.charges.empty() || m.leaseEnd - now <= worthDeleting)
             continue;
+        if (m.address.empty()) continue;
         if (m.unanswered < askedInVain)
             plan.ask.push_back(i);
         else
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -91,6 +91,7 @@
     std::set<std::string> dead_;      // to be deleted
     std::uint64_t bookings_ = 0;
     bool everListed_ = false;
+    std::set<std::string> names_, namesBefore_;  // as last listed, and in the list before
 };
 
 }  // namespace basaltchute::fleet
--- a/src/scheduler/cluster.cpp
+++ b/src/scheduler/cluster.cpp
@@ -415,7 +415,7 @@
         job.notBefore = now + std::min<Duration>(60s, 1s * (1U << tries) / 4);
         return;
     }
-    if ((m.failedJobs.size() >= 2 || (sound && m.failures >= 2)) && !m.sick) {
+    if ((m.failedJobs.size() >= 2 || sound) && !m.sick) {
         m.sick = true;
         spdlog::warn("machine {} fails its tasks: no more work for it", m.name);
     }
--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -53,6 +53,10 @@
     void directEnded(MachineIndex machine, bool sent, bool answered);
     /// It was silent and has not answered when asked either.
     void unanswered(MachineIndex machine) { ++machines_[machine].unanswered; }
+    /// Where a machine that has not reported yet can be asked, as the cloud lists it.
+    void setAddress(MachineIndex machine, const std::string& address) {
+        if (!machines_[machine].up()) machines_[machine].address = address;
+    }
     void machineGone(MachineIndex machine, TimePoint now);
     /// The machine is to be returned, or is wanted again after all.
     void setDraining(MachineIndex machine, bool draining);
