Return only machines with few replicas on them; a rougher forecast of late work

Change: a machine of which replicas use more than 35% is not returned; the forecast doubles run times.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -17,7 +17,8 @@
 constexpr Duration rise = 6s, fall = 40s;  // of the target for classes whose starts may wait
 constexpr double warmMargin = 4;           // of a warm class's peak: jobs come in bursts
 constexpr Duration worthDeleting = 10s;    // of a silent machine's lease still to run
-constexpr double runMargin = 1.2;          // owners' estimates of run times are rough
+constexpr double movedShare = 0.35;        // of a machine that replicas may use when it is returned
+constexpr double runMargin = 2.0;          // owners' estimates of run times are rough
 constexpr Duration reportDelay = 1500ms;
 constexpr std::uint32_t askedInVain = 2;
 constexpr Duration spareHold = 30s;  // how long an idle machine beyond the target is kept
@@ -215,7 +216,13 @@
         if (!cluster_.fresh(m, now) || m.sick || m.draining || now - m.upSince <= spareHold)
             continue;
         double used = 0;
-        for (const auto& c : m.charges) used += c.job->spec.demand.cores;
+        double lasting = 0;
+        for (const auto& c : m.charges) {
+            used += c.job->spec.demand.cores;
+            if (c.job->spec.shape == Shape::service) lasting += c.job->spec.demand.cores;
+        }
+        // Emptying it would move replicas, which are away for a moment: not for many of them.
+        if (lasting > coresOf(m.type) * movedShare) continue;
         candidates.emplace_back(used, -pricePerCore(cluster_.catalogue().at(m.type), m.spot), i);
     }
     std::sort(candidates.begin(), candidates.end());
