--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -17,7 +17,7 @@
 constexpr Duration rise = 6s, fall = 40s;  // of the target for classes whose starts may wait
 constexpr double warmMargin = 4;           // of a warm class's peak: jobs come in bursts
 constexpr Duration worthDeleting = 10s;    // of a silent machine's lease still to run
-constexpr double movedShare = 0.35;        // of a machine that replicas may use when it is returned
+constexpr double movedShare = 0.6;         // of a machine that replicas may use when it is returned
 constexpr double runMargin = 2.0;          // owners' estimates of run times are rough
 constexpr Duration reportDelay = 1500ms;
 constexpr std::uint32_t askedInVain = 2;
--- a/src/scheduler/room.cpp
+++ b/src/scheduler/room.cpp
@@ -90,8 +90,11 @@
     Warm& w = warm_[jobClass];
     ++w.jobs[image];
     w.rank = rank;
-    if (w.each == each) return;
-    w.each = each;
+    // The most that any of its jobs asked for: that is counted anew a few times at most, however
+    // much jobs differ.
+    if (fits(each, w.each)) return;
+    w.each = {std::max(w.each.cores, each.cores), std::max(w.each.gpus, each.gpus),
+              std::max(w.each.ramGb, each.ramGb)};
     w.room.clear();
     for (const auto& [machine, o] : offers_) count(w, o, true);
 }
@@ -105,13 +108,6 @@
     if (w->second.jobs.empty()) warm_.erase(w);
 }
 
-std::uint32_t Room::warmRoom(const std::string& jobClass, const std::string& image) const {
-    const auto w = warm_.find(jobClass);
-    if (w == warm_.end()) return 0;
-    const auto room = w->second.room.find(image);
-    return room == w->second.room.end() ? 0 : room->second;
-}
-
 bool Room::staysWarm(MachineIndex machine, const Demand& taken, Priority rank,
                      std::uint32_t keep) const {
     const Offer* o = of(machine);
--- a/src/scheduler/room.h
+++ b/src/scheduler/room.h
@@ -97,12 +97,10 @@
     [[nodiscard]] std::uint64_t gains() const { return gains_; }
 
     // Warm room: on ordinary machines that have the images of a class whose tasks must start at
-    // once. A class keeps what its jobs ask for; images count while a job of it is open.
+    // once. A class counts what the largest of its jobs asked for, images while a job is open.
     void wantWarm(const std::string& jobClass, Priority rank, const Demand& each,
                   const std::string& image);
     void unwantWarm(const std::string& jobClass, const std::string& image);
-    [[nodiscard]] std::uint32_t warmRoom(const std::string& jobClass,
-                                         const std::string& image) const;
     /// Whether work of this rank may take that much there and leave `keep` places warm.
     [[nodiscard]] bool staysWarm(MachineIndex machine, const Demand& taken, Priority rank,
                                  std::uint32_t keep) const;
