--- a/src/app/controller_test.cpp
+++ b/src/app/controller_test.cpp
@@ -86,6 +86,17 @@
     }
 };
 
+TEST_F(ControllerTest, FollowersWatchQuietlyAfterManyChangesElsewhere) {
+    // Once the state service had forgotten the revision of the leader's key, every follower asked
+    // for it without a pause, and the leader's own writes were refused.
+    start(3);
+    state.changeElsewhere(20'000);
+    world.run(12s);  // the watches of before end
+    const int before = state.watches;
+    world.run(20s);
+    EXPECT_LE(state.watches - before, 6) << "two followers, ten seconds a watch";
+}
+
 TEST_F(ControllerTest, AnyNodeTakesAJobOnceAndItStandsBeforeTheAnswer) {
     start(3);
     for (std::size_t i = 0; i < 3; ++i) EXPECT_EQ(ask(i, "GET", "/up").response.status, 200);
--- a/src/fleet/fleet_test.cpp
+++ b/src/fleet/fleet_test.cpp
@@ -135,6 +135,44 @@
     EXPECT_EQ(run(3, false), (std::set<std::string>{"n-1", "n-2", "n-3"})) << "well within a lease";
 }
 
+TEST_F(FleetTest, RentsAllThatIsLackingAtOnceAndFromAllZonesAlike) {
+    // Four machines a request and 24 on their way: a fleet of hundreds grew by one a second.
+    fleet.listed({}, clock.now());
+    submit("run-1", 120);  // 480 cores: 60 machines
+    clock.advance(11s);
+    std::map<std::string, unsigned> spot;
+    for (const auto& r : fleet.plan(clock.now()).rent) {
+        EXPECT_LE(r.count, 50U);
+        if (r.spot) spot[r.zone] += r.count;
+    }
+    EXPECT_EQ(spot, (std::map<std::string, unsigned>{{"a", 30}, {"b", 30}}));
+}
+
+TEST_F(FleetTest, AfterATakeOverDeletesWhatTheCloudNoLongerLists) {
+    // Machines that died around a take-over kept their tasks for a whole lease.
+    Worker w("n-1");
+    w.execute(cluster.beat(w.next(), clock.now()));
+    submit("run-1", 2);
+    cluster.place(clock.now());
+    std::map<std::string, std::string> records;
+    testing::commitAll(cluster, records);
+    scheduler::Cluster next{settings, 2};
+    next.setCatalogue(testing::someCatalogue());
+    for (const auto& [key, data] : records)
+        ASSERT_TRUE(next.load(key, data, clock.now(), clock.wall()));
+    next.loaded(clock.now());
+    Fleet after{next, clock.now()};
+    std::set<std::string> removed;
+    for (int i = 0; i < 25; ++i) {
+        clock.advance(1s);
+        after.listed({}, clock.now());
+        const auto plan = after.plan(clock.now());
+        EXPECT_TRUE(i >= 15 || plan.remove.empty()) << "the list lags";
+        removed.insert(plan.remove.begin(), plan.remove.end());
+    }
+    EXPECT_EQ(removed, std::set<std::string>{"n-1"});
+}
+
 TEST_F(FleetTest, RentsOnlyTypesThatATaskFitsOn) {
     auto catalogue = testing::someCatalogue();
     MachineType tiny = catalogue.at("box");
--- a/src/testing/world.h
+++ b/src/testing/world.h
@@ -39,7 +39,12 @@
     };
     std::map<std::string, Entry> keys;
     bool down = false;
-    int writes = 0;
+    int writes = 0, watches = 0;
+    /// Other changes, after which the service no longer knows what came before them.
+    void changeElsewhere(std::uint64_t times) {
+        epoch_ += times;
+        oldest_ = epoch_ - 1;
+    }
     /// Ends the grant that holds a key, as if its time had run out.
     void endGrantOf(const std::string& key);
 
@@ -52,7 +57,7 @@
     World& world_;
     http::Server server_;
     Event changed_;
-    std::uint64_t epoch_ = 1, nextGrant_ = 1, erasedAt_ = 0;
+    std::uint64_t epoch_ = 1, nextGrant_ = 1, erasedAt_ = 0, oldest_ = 0;
     struct Grant {
         Duration life{};
         TimePoint end{};
--- a/src/testing/world_test.cpp
+++ b/src/testing/world_test.cpp
@@ -124,6 +124,8 @@
 
 Task<http::Response> StateService::watch(std::string target) {
     const auto after = std::stoull(param(target, "after"));
+    ++watches;
+    if (after < oldest_) co_return http::Response{410, "{}"};
     const std::string prefix = param(target, "under");
     const TimePoint until =
         world_.clock.now() + std::chrono::milliseconds(std::stol(param(target, "waitMs")));
