--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -106,6 +106,8 @@
     [[nodiscard]] std::string check();
 
   private:
+    /// The longest a worker may still hold a lease that was renewed then, by our clock.
+    [[nodiscard]] TimePoint leaseEnd(TimePoint renewed) const;
     void touch(Job& job, std::uint32_t task, state::Urgency urgency);
     void bind(Job& job, std::uint32_t task, MachineIndex machine,
               std::vector<cells::CellIndex> cells = {});
--- /dev/null
+++ b/src/scheduler/reports.cpp
@@ -0,0 +1,318 @@
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "scheduler/cluster.h"
+
+// What workers report, what it proves, and the orders that answer it.
+
+namespace basaltchute::scheduler {
+
+using namespace std::chrono_literals;
+using state::Urgency;
+using workers::Charge;
+using workers::ExitCause;
+using workers::Machine;
+using workers::Order;
+using workers::Presence;
+using workers::Report;
+using workers::ReportedTask;
+using workers::TaskStatus;
+using workers::Verb;
+
+namespace {
+constexpr Duration soundAfter = 15s;    // a task that ran this long has a sound job
+constexpr std::size_t maxOrders = 300;  // an answer is one line of at most 64 KiB
+}  // namespace
+
+void Cluster::setPhase(Job& job, JobTask& task, Phase phase, TimePoint now) {
+    const auto on = [](Phase p) { return p == Phase::running || p == Phase::saving; };
+    if (on(phase) && !on(task.phase)) {
+        ++job.runningCount;
+        task.runningSince = now;
+    }
+    if (!on(phase) && on(task.phase)) --job.runningCount;
+    task.phase = phase;
+}
+
+void Cluster::failed(Machine& m, MachineIndex index, Job& job, TimePoint now) {
+    ++m.failures;
+    ++job.failures;
+    m.failedJobs.insert(job.spec.id);
+    job.failedOn[index] = now;
+    m.avoidUntil = now + 10s;
+    changed(index);
+    attendAt(index, m.avoidUntil);
+    // A job that fails wherever it goes is at fault itself, unless some of its tasks do run: then
+    // it only met several sick machines, as a large array does when dozens are sick at once.
+    const bool sound =
+        job.doneCount > 0 || std::any_of(job.tasks.begin(), job.tasks.end(), [&](const JobTask& t) {
+            return t.state == TaskState::bound && t.phase == Phase::running &&
+                   now - t.runningSince >= soundAfter;
+        });
+    if (!sound && job.failedOn.size() >= 3) {
+        for (const auto& [at, when] : job.failedOn) machines_[at].failedJobs.erase(job.spec.id);
+        const auto tries = std::min<std::uint32_t>(job.failures, 8);
+        job.notBefore = now + std::min<Duration>(60s, 1s * (1U << tries) / 4);
+        return;
+    }
+    if ((m.failedJobs.size() >= 2 || sound) && !m.sick) {
+        m.sick = true;
+        spdlog::warn("machine {} fails its tasks: no more work for it", m.name);
+    }
+}
+
+void Cluster::exited(MachineIndex machine, const ReportedTask& t, TimePoint now) {
+    Machine& m = machines_[machine];
+    Job* job = find(t.job);
+    if (job == nullptr || t.task >= job->spec.tasks) return;
+    const auto c = std::find_if(m.charges.begin(), m.charges.end(), [&](const Charge& x) {
+        return x.job == job && x.task == t.task && x.attempt == t.attempt;
+    });
+    if (t.cause == ExitCause::done && job->spec.shape != Shape::service) {
+        const JobTask& task = job->tasks[t.task];
+        const double ran = toSeconds(now - task.runningSince);
+        if (task.state == TaskState::bound && task.attempt == 1 && job->spec.estimateS > 0 &&
+            ran > 0) {
+            // Owners' estimates are off in the same direction for most of a day.
+            double& bias = bias_[job->spec.jobClass];
+            bias += 0.1 * (std::clamp(std::log(ran / job->spec.estimateS), -2.0, 2.0) - bias);
+        }
+        // A result is a result, whichever attempt brought it.
+        finish(*job, t.task);
+    }
+    if (c == m.charges.end()) return;
+    if (c->directUnknown || c->directPending) m.keep.emplace(t.job, t.task, t.attempt);
+    const bool mine = owns(*c, machine);
+    switch (t.cause) {
+        case ExitCause::done:
+            m.failedJobs.clear();
+            m.failures = 0;
+            break;
+        case ExitCause::error:
+            if (mine) failed(m, machine, *job, now);
+            break;
+        case ExitCause::full:
+            m.avoidUntil = now + 2s;
+            attendAt(machine, m.avoidUntil);
+            break;
+        case ExitCause::busy:
+        case ExitCause::noSuch:
+            job->notBefore = now + 1s;
+            break;
+        case ExitCause::stopped:
+        case ExitCause::other:
+            break;
+    }
+    release(machine, static_cast<std::size_t>(c - m.charges.begin()));
+}
+
+void Cluster::seen(MachineIndex machine, const ReportedTask& t, TimePoint now) {
+    Machine& m = machines_[machine];
+    Job* job = find(t.job);
+    if (job == nullptr || t.task >= job->spec.tasks) {
+        m.strangers.push_back(t);
+        return;
+    }
+    auto c = std::find_if(m.charges.begin(), m.charges.end(), [&](const Charge& x) {
+        return x.job == job && x.task == t.task && x.attempt == t.attempt;
+    });
+    JobTask& task = job->tasks[t.task];
+    if (c == m.charges.end()) {
+        Charge fresh;
+        fresh.job = job;
+        fresh.task = t.task;
+        fresh.attempt = t.attempt;
+        fresh.sent = true;
+        if (task.state == TaskState::waiting && t.attempt >= task.attempt && job->open()) {
+            // It runs although no record says so: it stays where it is, on record.
+            task.state = TaskState::bound;
+            task.machine = machine;
+            task.attempt = t.attempt;
+            ++job->boundCount;
+            listWaiting(*job);
+            touch(*job, t.task, Urgency::bindings);
+        } else {
+            fresh.ghost = true;
+        }
+        charge(machine, std::move(fresh));
+        c = std::prev(m.charges.end());
+    }
+    c->listedIn = m.sequence;
+    c->seen = true;
+    c->recovered = false;
+    if (!owns(*c, machine)) return;
+    const Phase before = task.phase;
+    const Phase phase = t.status == TaskStatus::pulling  ? Phase::pulling
+                        : t.status == TaskStatus::saving ? Phase::saving
+                                                         : Phase::running;
+    setPhase(*job, task, phase, now);
+    if (phase != Phase::pulling && before != Phase::running &&
+        m.images.insert_or_assign(job->spec.image, now).second)
+        changed(machine);
+}
+
+void Cluster::report(const Report& r, Source source, TimePoint now) {
+    const MachineIndex index = machines_.indexOf(r.machine);
+    Machine& m = machines_[index];
+    if (m.presence == Presence::gone) return;
+    now_ = now;
+    m.address = r.address;
+    if (m.presence == Presence::expected) {
+        m.presence = Presence::up;
+        m.upSince = now;
+        m.type = r.type;
+        m.zone = r.zone;
+        m.spot = r.spot;
+        for (const auto& c : m.charges) {  // bound by a former leader, in a zone not known till now
+            --c.job->perZone[""];
+            ++c.job->perZone[m.zone];
+            std::erase_if(c.job->perZone, [](const auto& n) { return n.second == 0; });
+        }
+        enterPool(index);
+        changed(index);
+    }
+    if (std::tie(r.session, r.sequence) <= std::tie(m.session, m.sequence)) return;
+    if (r.session > m.session && m.session != 0) {
+        m.keep.clear();
+        m.images.clear();
+        changed(index);
+        // The worker killed all it had. Bindings whose launch never left are still good.
+        for (std::size_t c = m.charges.size(); c-- > 0;)
+            if (m.charges[c].sent) release(index, c);
+    }
+    m.session = r.session;
+    m.sequence = r.sequence;
+    if (r.session <= m.deadSession) {
+        // A report held back since before the lease ran out: only results in it still count.
+        for (const auto& t : r.tasks)
+            if (t.status == TaskStatus::exited && t.cause == ExitCause::done) exited(index, t, now);
+        return;
+    }
+    m.heardAt = now;
+    m.unanswered = 0;
+    if (room_.of(index) == nullptr) changed(index);  // silent for a while, or new
+    attendAt(index, now + settings_.reportEvery * 2);
+    if (r.notice) {
+        if (!m.recalledAt) {
+            spdlog::info("machine {} is to be taken back", m.name);
+            changed(index);
+        }
+        m.recalledAt = now + *r.notice;
+        attendAt(index, now);
+    }
+    m.exited.clear();
+    m.strangers.clear();
+    for (const auto& t : r.tasks) {
+        if (t.status == TaskStatus::exited) {
+            m.exited.push_back(t);
+            exited(index, t, now);
+        } else {
+            seen(index, t, now);
+        }
+    }
+    for (std::size_t i = m.charges.size(); i-- > 0;) {
+        const Charge& c = m.charges[i];
+        if (c.listedIn == r.sequence || !c.sent) continue;
+        // Not mentioned. Proof that it is not there, unless a launch may still be on its way:
+        // those of a former leader are fenced once the worker has seen our token.
+        const bool fenced = c.recovered && r.token == token_;
+        // A launch inside the answer to a beat is executed or dropped before the next beat is
+        // sent; the body of a direct answer may be older than that.
+        const bool unlaunched = source == Source::beat && mustStop(c) && !c.recovered &&
+                                !c.directPending && !c.directUnknown;
+        if (c.seen || fenced || unlaunched) release(index, i);
+    }
+}
+
+bool Cluster::allBound(const Job& job) const {
+    if (job.boundCount + job.doneCount < job.spec.tasks) return false;
+    return std::all_of(job.records.begin(), job.records.end(),
+                       [](const auto& r) { return r.durable >= r.version; });
+}
+
+bool Cluster::mustStop(const Charge& c) const {
+    return c.ghost || !c.job->open() || c.job->tasks[c.task].state != TaskState::bound ||
+           c.job->tasks[c.task].attempt != c.attempt || c.job->tasks[c.task].stopping;
+}
+
+std::vector<Order> Cluster::orders(MachineIndex machine, bool direct) {
+    Machine& m = machines_[machine];
+    std::vector<Order> out;
+    if (!direct) {
+        for (const auto& t : m.exited) {
+            if (out.size() >= maxOrders) break;
+            if (m.keep.contains({t.job, t.task, t.attempt})) continue;
+            const Job* job = find(t.job);
+            // What the exit proves must be on record first: a forgotten result is lost for good.
+            if (job != nullptr && t.task < job->spec.tasks) {
+                const auto& record = job->records[job->recordOf(t.task)];
+                if (record.durable < record.version) continue;
+            }
+            out.push_back({Verb::forget, t.job, t.task, t.attempt, {}});
+        }
+    }
+    for (const auto& t : m.strangers) out.push_back({Verb::stop, t.job, t.task, t.attempt, {}});
+    for (auto& c : m.charges) {
+        if (out.size() >= maxOrders) break;
+        const JobSpec& spec = c.job->spec;
+        const JobTask& task = c.job->tasks[c.task];
+        if (mustStop(c)) {
+            if (!c.sent || (direct && c.stopSent)) continue;
+            const bool save = task.stopping && c.job->open() && spec.checkpointS > 0;
+            if (!c.seen && c.directUnknown)
+                // The launch may come yet. Making the attempt known and ending it at once
+                // turns the late one into a repetition, which does nothing.
+                out.push_back({Verb::launch, spec.id, c.task, c.attempt, {}});
+            out.push_back({Verb::stop, spec.id, c.task, c.attempt,
+                           save ? fromSeconds(spec.saveS + 0.5) : Duration::zero()});
+            c.stopSent = true;
+        } else if (!c.seen && !c.recovered) {
+            const auto& record = c.job->records[c.job->recordOf(c.task)];
+            if (record.durable < c.version || !c.job->accepted()) continue;
+            if (spec.shape == Shape::gang && !allBound(*c.job)) continue;
+            if (direct && (c.sent || c.directPending)) continue;
+            out.push_back({Verb::launch, spec.id, c.task, c.attempt, {}});
+            c.sent = true;
+            c.directPending = c.directPending || direct;
+            c.job->tasks[c.task].phase = Phase::ordered;
+        }
+    }
+    return out;
+}
+
+std::vector<Order> Cluster::beat(const Report& r, TimePoint now) {
+    report(r, Source::beat, now);
+    const auto index = machines_.indexOf(r.machine);
+    Machine& m = machines_[index];
+    m.leaseEnd = leaseEnd(now);
+    if (m.presence == Presence::gone || r.session <= m.deadSession || r.session != m.session ||
+        r.sequence != m.sequence)
+        return {};
+    return orders(index, false);
+}
+
+std::vector<Order> Cluster::directOrders(MachineIndex machine, TimePoint now) {
+    Machine& m = machines_[machine];
+    if (m.directBusy || !m.up() || !fresh(m, now)) return {};
+    auto out = orders(machine, true);
+    m.directBusy = !out.empty();
+    return out;
+}
+
+void Cluster::directEnded(MachineIndex machine, bool sent, bool answered) {
+    Machine& m = machines_[machine];
+    m.directBusy = false;
+    for (auto& c : m.charges) {
+        if (!c.directPending) continue;
+        c.directPending = false;
+        if (sent && !answered) c.directUnknown = true;
+    }
+}
+
+bool Cluster::fresh(const Machine& m, TimePoint now) const {
+    return m.up() && m.session > m.deadSession && now - m.heardAt < settings_.reportEvery * 2;
+}
+
+}  // namespace basaltchute::scheduler
