--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -168,9 +168,9 @@
         const double left = s.demand.cores * (s.tasks - job->doneCount);
         open += left;
         seconds += left * std::max(1.0, toSeconds(cluster_.runTime(s)));
+        if (job->waitingCount() == 0 || now < job->notBefore) continue;
         const auto turn = cluster_.turn(*job, now);
-        if (job->waitingCount() > 0 && now >= job->notBefore && turn.hopes)
-            queue.push_back({turn.by, s.demand.cores * job->waitingCount()});
+        if (turn.hopes) queue.push_back({turn.by, s.demand.cores * job->waitingCount()});
     }
     if (queue.empty()) return 0;
     std::sort(queue.begin(), queue.end(), [](const Wait& a, const Wait& b) { return a.by < b.by; });
@@ -274,8 +274,8 @@
         ++up;
         // What runs on it is on record, and it has not found this leader; a machine is listed
         // until it is gone.
-        const bool listed = names_.contains(m.name) || namesBefore_.contains(m.name);
-        if (!m.up() && !listed && now - since_ > s.listLag * 2 + reportDelay) {
+        if (!m.up() && now - since_ > s.listLag * 2 + reportDelay && !names_.contains(m.name) &&
+            !namesBefore_.contains(m.name)) {
             dead_.insert(m.name);
             continue;
         }
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -66,7 +66,6 @@
     MachineIndex machine = noMachine;
     Attempt attempt = 0;
     TimePoint runningSince{};
-    double savedS = 0;  // progress known to be saved
 };
 
 struct Job {
--- a/src/scheduler/cluster.cpp
+++ b/src/scheduler/cluster.cpp
@@ -273,16 +273,15 @@
 }
 
 void Cluster::stop(Job& job, std::uint32_t task) {
-    const auto one = [&](JobTask& t) {
+    const auto one = [&](std::uint32_t which) {
+        JobTask& t = job.tasks[which];
         if (t.state != TaskState::bound || t.stopping) return;
-        auto& charges = machines_[t.machine].charges;
-        const auto c = std::find_if(charges.begin(), charges.end(), [&](const Charge& x) {
-            return x.job == &job && &job.tasks[x.task] == &t && x.attempt == t.attempt;
-        });
-        if (c != charges.end() && !c->sent) {
+        Machine& m = machines_[t.machine];
+        const Charge* c = m.charge(job, which, t.attempt);
+        if (c != nullptr && !c->sent) {
             // Its launch never left, so there is nothing to stop and nothing will be reported:
             // told to stop, such a task once kept its room for good.
-            release(t.machine, static_cast<std::size_t>(c - charges.begin()));
+            release(t.machine, static_cast<std::size_t>(c - m.charges.data()));
             return;
         }
         t.stopping = true;
@@ -290,9 +289,9 @@
         changed(t.machine);
     };
     if (job.spec.shape == Shape::gang)
-        for (JobTask& t : job.tasks) one(t);
+        for (std::uint32_t t = 0; t < job.spec.tasks; ++t) one(t);
     else
-        one(job.tasks[task]);
+        one(task);
 }
 
 void Cluster::machineGone(MachineIndex machine, TimePoint now) {
--- a/src/scheduler/reports.cpp
+++ b/src/scheduler/reports.cpp
@@ -67,9 +67,7 @@
     Machine& m = machines_[machine];
     Job* job = find(t.job);
     if (job == nullptr || t.task >= job->spec.tasks) return;
-    const auto c = std::find_if(m.charges.begin(), m.charges.end(), [&](const Charge& x) {
-        return x.job == job && x.task == t.task && x.attempt == t.attempt;
-    });
+    const Charge* c = m.charge(*job, t.task, t.attempt);
     if (t.cause == ExitCause::done && job->spec.shape != Shape::service) {
         const JobTask& task = job->tasks[t.task];
         const double ran = toSeconds(now - task.runningSince);
@@ -82,7 +80,7 @@
         // A result is a result, whichever attempt brought it.
         finish(*job, t.task);
     }
-    if (c == m.charges.end()) return;
+    if (c == nullptr) return;
     if (c->directUnknown || c->directPending) m.keep.emplace(t.job, t.task, t.attempt);
     const bool mine = owns(*c, machine);
     switch (t.cause) {
@@ -105,7 +103,7 @@
         case ExitCause::other:
             break;
     }
-    release(machine, static_cast<std::size_t>(c - m.charges.begin()));
+    release(machine, static_cast<std::size_t>(c - m.charges.data()));
 }
 
 void Cluster::seen(MachineIndex machine, const ReportedTask& t, TimePoint now) {
@@ -115,11 +113,9 @@
         m.strangers.push_back(t);
         return;
     }
-    auto c = std::find_if(m.charges.begin(), m.charges.end(), [&](const Charge& x) {
-        return x.job == job && x.task == t.task && x.attempt == t.attempt;
-    });
+    Charge* c = m.charge(*job, t.task, t.attempt);
     JobTask& task = job->tasks[t.task];
-    if (c == m.charges.end()) {
+    if (c == nullptr) {
         Charge fresh;
         fresh.job = job;
         fresh.task = t.task;
@@ -136,8 +132,7 @@
         } else {
             fresh.ghost = true;
         }
-        charge(machine, std::move(fresh));
-        c = std::prev(m.charges.end());
+        c = &charge(machine, std::move(fresh));
     }
     c->listedIn = m.sequence;
     c->seen = true;
--- a/src/workers/machine.h
+++ b/src/workers/machine.h
@@ -62,6 +62,12 @@
     bool changed = false;                   // its offer of room has to be made anew
 
     [[nodiscard]] bool up() const { return presence == Presence::up; }
+    /// The charge for this attempt, or nullptr if there is none.
+    Charge* charge(const Job& job, std::uint32_t task, Attempt attempt) {
+        for (Charge& c : charges)
+            if (c.job == &job && c.task == task && c.attempt == attempt) return &c;
+        return nullptr;
+    }
 };
 
 /// Every machine this leader has heard of. Indices stay valid for good.
