--- a/src/app/controller_test.cpp
+++ b/src/app/controller_test.cpp
@@ -1,6 +1,7 @@
 #include "app/controller.h"
 
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include "testing/world.h"
 
@@ -26,10 +27,15 @@
     Scope users{world.loop};
 
     static std::string freeAddress() {
-        // A port that was free a moment ago, for settings that must name it beforehand.
+        // A port that was free a moment ago, for settings that must name it beforehand; on an
+        // address of this process alone, or tests that run beside it could take it meanwhile.
         const FakeClock clock;
         Loop loop(clock);
-        return Listener(loop, "127.0.0.1:0").address();
+        const auto id = static_cast<unsigned>(::getpid());
+        const auto part = [&](unsigned shift) { return std::to_string(id >> shift & 0xffU); };
+        return Listener(loop, "127." + std::to_string(1 + (id >> 16 & 0x7fU)) + '.' + part(8) +
+                                  '.' + part(0) + ":0")
+            .address();
     }
     /// `absent` peers are in the settings but never answer.
     void start(std::size_t count, std::size_t absent = 0) {
