Orders over a peer when a leader loses the workers; requests follow a new leader

Requests passed on to a silent leader waited 3 s for its link, then timed out with their users. Change: workers::Reach takes a detour over a peer, one in the worker's zone first, once two machines of a zone do not answer; a question beside the orders finds out when the own way works again; a copy that went unanswered is remembered as before. A machine is given up only if a peer does not reach it either. Followers pass a request on again when another leader is ready. Without the right to act nothing is decided.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -16,6 +16,8 @@
 const std::string beatPath = "/agent/beat";
 constexpr Duration pledgePatience = 500ms;
 constexpr Duration statePatience = 500ms;  // on behalf of a peer
+constexpr Duration workerPatience = 1s;    // likewise
+constexpr Duration userPatience = 4s;      // users wait for 5 s
 constexpr Duration relayPatience = 3s;     // a worker drops what comes after 4 s
 
 http::Response plain(int status, const char* body) {
@@ -57,32 +59,43 @@
       operator_(std::move(operatorSettings)),
       scope_(loop),
       state_(loop, settings_),
-      leadership_(loop, state_, settings_, std::move(incarnation),
-                  {[this](Token, state::Guard guard) {
-                       reign_ = std::make_shared<Reign>(loop_, settings_, operator_, state_,
-                                                        leadership_, std::move(guard));
-                       reign_->start();
-                       mesh_.announce();
-                   },
-                   [this]() -> Task<void> {
-                       const auto reign = std::exchange(reign_, nullptr);
-                       mesh_.announce();
-                       co_await reign->end();
-                   },
-                   [this](Token token, Duration hold) -> Task<bool> {
-                       const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(hold);
-                       const mesh::Pledge pledge{token, ms};
-                       const bool all = co_await mesh_.pledgeAll(pledge, pledgePatience, scope_);
-                       co_return all;
-                   },
-                   [this] {
-                       return std::all_of(
-                           settings_.peers.begin(), settings_.peers.end(),
-                           [&](const auto& p) { return idlePeers_.contains(p.name); });
-                   }}),
+      leadership_(
+          loop, state_, settings_, std::move(incarnation),
+          {[this](Token, state::Guard guard) {
+               reign_ = std::make_shared<Reign>(
+                   loop_, settings_, operator_, state_, leadership_, std::move(guard),
+                   Reign::Hooks{[this](workers::Reach::Target t, http::Request r, Duration patience,
+                                       Scope& scope) {
+                                    return mesh_.toWorker(std::move(t.zone), std::move(t.address),
+                                                          std::move(r), patience, scope);
+                                },
+                                [this] {
+                                    // What waits for the former leader comes here now.
+                                    mesh_.announce();
+                                    mesh_.leaderIs(settings_.node);
+                                }});
+               reign_->start();
+               mesh_.announce();
+           },
+           [this]() -> Task<void> {
+               const auto reign = std::exchange(reign_, nullptr);
+               mesh_.announce();
+               co_await reign->end();
+           },
+           [this](Token token, Duration hold) -> Task<bool> {
+               const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(hold);
+               const mesh::Pledge pledge{token, ms};
+               const bool all = co_await mesh_.pledgeAll(pledge, pledgePatience, scope_);
+               co_return all;
+           },
+           [this] {
+               return std::all_of(settings_.peers.begin(), settings_.peers.end(),
+                                  [&](const auto& p) { return idlePeers_.contains(p.name); });
+           }}),
       mesh_(loop, settings_,
             {[this] {
-                 return mesh::Hello{settings_.node, leadership_.mayAct(), leadership_.token()};
+                 return mesh::Hello{settings_.node, leadership_.mayAct(), leadership_.token(),
+                                    reign_ && reign_->ready()};
              },
              [this](const mesh::Hello& hello) {
                  if (!hello.leading) {
@@ -92,10 +105,20 @@
                  idlePeers_.erase(hello.node);
                  leaderSeen_ = loop_.now();
                  leadership_.heard({hello.node, hello.token});
+                 const auto known = leadership_.known();
+                 if (hello.ready && known && known->token == hello.token)
+                     mesh_.leaderIs(hello.node);
              },
-             [this](mesh::Purpose purpose, http::Request r) {
-                 return purpose == mesh::Purpose::leader ? lead(std::move(r))
-                                                         : stateFor(std::move(r));
+             [this](mesh::Purpose purpose, http::Request r, std::string worker) {
+                 switch (purpose) {
+                     case mesh::Purpose::stateService:
+                         return stateFor(std::move(r));
+                     case mesh::Purpose::worker:
+                         return workerFor(std::move(r), std::move(worker));
+                     case mesh::Purpose::leader:
+                         break;
+                 }
+                 return lead(std::move(r));
              },
              [this](const mesh::Pledge& p) { return leadership_.pledge(p.token, p.hold); }}),
       server_(loop, settings_.listen, http::ServerLimits{settings_.servedSockets()},
@@ -158,15 +181,36 @@
         co_return plain(call.verb == UserCall::Verb::query ? 404 : 400,
                         R"({"error":"not a job id"})");
     }
-    if (reign_) {
-        auto response = co_await lead(std::move(r));
-        co_return response;
+    auto response = co_await passOn(std::move(r), userPatience);
+    co_return response ? std::move(*response) : noLeader();
+}
+
+Task<std::optional<http::Response>> Controller::passOn(http::Request r, Duration patience) {
+    const TimePoint until = loop_.now() + patience;
+    Token asked = 0;
+    while (loop_.now() < until) {
+        if (reign_) {
+            auto response = co_await lead(std::move(r));
+            co_return response;
+        }
+        const auto known = leadership_.known();
+        // Asked already, and given up by the mesh: that leader cannot be reached.
+        if (!known || known->node == settings_.node || known->token == asked) break;
+        asked = known->token;
+        http::Request copy = r;
+        auto o = co_await mesh_.forward(known->node, std::move(copy), until - loop_.now(), scope_);
+        if (!o.answered) continue;
+        o.response.keepAlive = true;
+        co_return std::move(o.response);
     }
-    const auto known = leadership_.known();
-    if (!known || known->node == settings_.node) co_return noLeader();
-    auto o = co_await mesh_.forward(known->node, std::move(r), 4s, scope_);
-    if (!o.answered) co_return noLeader();
-    o.response.keepAlive = true;
+    co_return std::nullopt;
+}
+
+Task<http::Response> Controller::workerFor(http::Request r, std::string worker) {
+    if (r.target != "/commands" && r.target != "/inspect") co_return plain(400, "{}");
+    http::Client client(loop_, worker, 0);
+    auto o = co_await client.request(std::move(r), workerPatience, scope_);
+    if (!o.answered) co_return plain(o.sent ? 504 : 502, "{}");
     co_return std::move(o.response);
 }
 
@@ -219,10 +263,8 @@
     if (!known || known->node == settings_.node) co_return noLeader();
     if (mesh_.connected(known->node)) {
         // Passed on instead of sent away: the worker may not be able to reach the leader.
-        auto o = co_await mesh_.forward(known->node, std::move(r), relayPatience, scope_);
-        if (!o.answered) co_return noLeader();
-        o.response.keepAlive = true;
-        co_return std::move(o.response);
+        auto response = co_await passOn(std::move(r), relayPatience);
+        co_return response ? std::move(*response) : noLeader();
     }
     // Cut off from the leader, perhaps together with the worker: another node may reach both.
     std::string to = known->node;
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -20,6 +20,10 @@
     Task<http::Response> handle(http::Request request);
     Task<http::Response> users(http::Request request);
     Task<http::Response> stateFor(http::Request request);
+    Task<http::Response> workerFor(http::Request request, std::string worker);
+    /// Passes a request on to whoever leads, once more if another node does meanwhile. Nothing if
+    /// no answer came in time.
+    Task<std::optional<http::Response>> passOn(http::Request request, Duration patience);
     Task<http::Response> lead(http::Request request);
     /// Nothing if this node must not act, or finds out by the report that it must not.
     std::optional<http::Response> leaderBeat(Reign& reign, const workers::Report& report);
--- a/src/app/controller_test.cpp
+++ b/src/app/controller_test.cpp
@@ -1,7 +1,6 @@
 #include "app/controller.h"
 
 #include <gtest/gtest.h>
-#include <unistd.h>
 
 #include "testing/world.h"
 
@@ -26,25 +25,14 @@
     std::vector<std::unique_ptr<Node>> nodes;
     Scope users{world.loop};
 
-    static std::string freeAddress() {
-        // A port that was free a moment ago, for settings that must name it beforehand; on an
-        // address of this process alone, or tests that run beside it could take it meanwhile.
-        const FakeClock clock;
-        Loop loop(clock);
-        const auto id = static_cast<unsigned>(::getpid());
-        const auto part = [&](unsigned shift) { return std::to_string(id >> shift & 0xffU); };
-        return Listener(loop, "127." + std::to_string(1 + (id >> 16 & 0x7fU)) + '.' + part(8) +
-                                  '.' + part(0) + ":0")
-            .address();
-    }
     /// `absent` peers are in the settings but never answer.
     void start(std::size_t count, std::size_t absent = 0) {
         for (std::size_t i = 0; i < count; ++i) {
             auto n = std::make_unique<Node>();
             n->settings = testing::someSettings();
             n->settings.node = "rig-" + std::to_string(i);
-            n->settings.listen = freeAddress();
-            n->settings.meshListen = freeAddress();
+            n->settings.listen = testing::freeAddress();
+            n->settings.meshListen = testing::freeAddress();
             n->settings.state = state.address();
             n->settings.cloud = cloud.address();
             nodes.push_back(std::move(n));
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 constexpr Duration factPatience = 3s;
-constexpr Duration askPatience = 900ms;  // less than the time between two plans
+constexpr Duration askPatience = 900ms;
 constexpr Duration tick = 250ms;
 constexpr Duration gather = 10ms;
 constexpr std::size_t slice = 64;  // tasks placed before others get their turn
@@ -26,7 +26,7 @@
 
 Reign::Reign(Loop& loop, const settings::Settings& settings,
              const settings::Operator& operatorSettings, state::Client& state,
-             Leadership& leadership, state::Guard guard)
+             Leadership& leadership, state::Guard guard, Hooks hooks)
     : loop_(loop),
       settings_(settings),
       state_(state),
@@ -47,7 +47,8 @@
                [this] { leadership_.stepDown("another leader's key is in place"); }}),
       cloud_(loop, settings, [this] { return leadership_.mayAct(); }),
       fleet_(cluster_, loop.now()),
-      direct_(loop, settings.directSockets()) {
+      reach_(loop, settings.directSockets(), std::move(hooks.detour)),
+      onLoaded_(std::move(hooks.loaded)) {
     cluster_.setOperator(operatorSettings);
 }
 
@@ -70,6 +71,7 @@
         cluster_.loaded(loop_.now());
         loaded_ = true;
         spdlog::info("loaded {} records", all.items.size());
+        onLoaded_();
         scope_.spawn(writer_.run(scope_));
         scope_.spawn(schedule());
         scope_.spawn(manageFleet());
@@ -93,6 +95,11 @@
         if (!dirty_) co_await loop_.wait(kicked_, loop_.now() + tick, scope_);
         if (scope_.cancelled()) break;
         dirty_ = false;
+        // The process may have stood still: what is decided without the right is never done.
+        if (!leadership_.mayAct()) {
+            co_await loop_.sleep(tick, scope_);
+            continue;
+        }
         cluster_.expire(loop_.now());
         // Beats, touches and users go on between slices of a long pass; a short pause lets one
         // pass serve many beats.
@@ -102,24 +109,30 @@
     }
 }
 
+workers::Reach::Target Reign::target(MachineIndex machine) const {
+    const workers::Machine& m = cluster_.machines()[machine];
+    return {machine, m.zone, m.address};
+}
+
 Task<void> Reign::direct(MachineIndex machine) {
     while (!scope_.cancelled()) {
         const auto orders = cluster_.directOrders(machine, loop_.now());
         if (orders.empty()) co_return;
         const workers::Machine& m = cluster_.machines()[machine];
-        const auto held = direct_.to(machine, m.address);
-        http::Outcome o;
+        workers::Reach::Reached reached;
         if (leadership_.mayAct()) {
             http::Request request{"POST", "/commands",
                                   workers::directOrders(cluster_.token(), m.session, orders)};
-            o = co_await held->request(std::move(request), 2s, scope_);
+            reached =
+                co_await reach_.request(target(machine), std::move(request), 2s, false, scope_);
         }
         if (scope_.cancelled()) co_return;
+        const http::Outcome& o = reached.outcome;
         const bool answered = o.answered && (o.response.status == 200 || o.response.status == 409);
         if (answered) {
             if (!heed(o.response.body)) co_return;
         }
-        cluster_.directEnded(machine, o.sent, answered);
+        cluster_.directEnded(machine, reached.stray || (o.sent && !answered));
         kick();
         if (!answered) co_return;
     }
@@ -137,10 +150,12 @@
 }
 
 Task<void> Reign::ask(MachineIndex machine) {
-    const auto client = direct_.to(machine, cluster_.machines()[machine].address);
     http::Request request{"GET", "/inspect", ""};
-    const auto o = co_await client->request(std::move(request), askPatience, scope_);
+    const auto reached =
+        co_await reach_.request(target(machine), std::move(request), askPatience, true, scope_);
     if (scope_.cancelled()) co_return;
+    const http::Outcome& o = reached.outcome;
+    // Given up only if other nodes do not reach it either.
     if (!o.answered)
         cluster_.unanswered(machine);
     else if (o.response.status == 200 && heed(o.response.body))
--- a/src/app/reign.h
+++ b/src/app/reign.h
@@ -6,7 +6,7 @@
 #include "leadership/leadership.h"
 #include "scheduler/cluster.h"
 #include "state/writer.h"
-#include "workers/connections.h"
+#include "workers/reach.h"
 
 namespace basaltchute::app {
 
@@ -14,9 +14,13 @@
 /// Requests that wait on it hold it, so it outlives its duties but never acts after them.
 class Reign {
   public:
+    struct Hooks {
+        workers::Reach::Detour detour;
+        std::function<void()> loaded;  // from now on requests can be answered
+    };
     Reign(Loop& loop, const settings::Settings& settings,
           const settings::Operator& operatorSettings, state::Client& state, Leadership& leadership,
-          state::Guard guard);
+          state::Guard guard, Hooks hooks);
     void start();
     Task<void> end() { return scope_.end(); }
     [[nodiscard]] bool ready() const { return loaded_ && leadership_.mayAct(); }
@@ -33,6 +37,7 @@
   private:
     Task<void> load();
     Task<void> schedule();
+    [[nodiscard]] workers::Reach::Target target(MachineIndex machine) const;
     Task<void> direct(MachineIndex machine);
     /// Takes in a report that came as an answer; false if it made this node step down.
     bool heed(const std::string& body);
@@ -59,8 +64,9 @@
     state::Writer writer_;
     fleet::Cloud cloud_;
     fleet::Fleet fleet_;
-    workers::Connections direct_;
+    workers::Reach reach_;
     std::size_t renting_ = 0;
+    std::function<void()> onLoaded_;
     bool loaded_ = false, dirty_ = false;
 };
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -23,7 +23,7 @@
 constexpr std::uint32_t askedInVain = 2;
 constexpr Duration lendingDelay = 60s;  // of borrowers' time: machines boot, and orders travel
 constexpr Duration patientSpan = 600s;  // for borrowing work that no objective hurries any more
-constexpr Duration spareHold = 30s;  // how long an idle machine beyond the target is kept
+constexpr Duration spareHold = 30s;     // how long an idle machine beyond the target is kept
 }  // namespace
 
 void Fleet::listed(const std::vector<Listed>& all, TimePoint now) {
@@ -98,9 +98,9 @@
     target_ = {};
     warm_ = false;
     for (auto& [name, c] : classes_) {
-        c.warm = std::any_of(
-            cluster_.settings().objectives.begin(), cluster_.settings().objectives.end(),
-            [&](const auto& o) { return o.jobClass == name && o.kind == "wait"; });
+        c.warm = std::any_of(cluster_.settings().objectives.begin(),
+                             cluster_.settings().objectives.end(),
+                             [&](const auto& o) { return o.jobClass == name && o.kind == "wait"; });
         if (c.borrows) continue;
         c.smooth += (c.now - c.smooth) * (c.now > c.smooth ? up : down);
         c.peak = std::max(c.peak, c.now);
@@ -117,7 +117,8 @@
     for (const auto& m : cluster_.machines()) {
         if (!m.up() || m.spot) continue;
         for (const auto& c : m.charges)
-            if (c.job->spec.spotAllowed && !cluster_.borrows(*c.job)) target_.ordinaryUsed += c.job->spec.demand.cores;
+            if (c.job->spec.spotAllowed && !cluster_.borrows(*c.job))
+                target_.ordinaryUsed += c.job->spec.demand.cores;
     }
     target_.ordinaryUsed =
         std::min(target_.ordinaryUsed, std::max(0.0, target_.spot - have(true).spot));
@@ -186,13 +187,13 @@
     const auto t = cluster_.catalogue().find(type);
     if (t == cluster_.catalogue().end()) return false;
     // Machines are chosen for the work that they are rented for, unless there are only borrowers.
-    const bool onlyBorrowers =
-        std::none_of(classes_.begin(), classes_.end(), [](const auto& entry) {
-            return entry.second.spotAllowed && !entry.second.borrows;
-        });
+    const bool onlyBorrowers = std::none_of(
+        classes_.begin(), classes_.end(),
+        [](const auto& entry) { return entry.second.spotAllowed && !entry.second.borrows; });
     return std::any_of(classes_.begin(), classes_.end(), [&](const auto& entry) {
         const ClassDemand& c = entry.second;
-        return c.spotAllowed && c.borrows == onlyBorrowers && c.each.cores <= t->second.capacity.cores &&
+        return c.spotAllowed && c.borrows == onlyBorrowers &&
+               c.each.cores <= t->second.capacity.cores &&
                c.each.ramGb <= t->second.capacity.ramGb && c.each.gpus <= t->second.capacity.gpus;
     });
 }
--- a/src/mesh/mesh.capnp
+++ b/src/mesh/mesh.capnp
@@ -17,6 +17,7 @@
   node @0 :Text;
   leading @1 :Bool;
   token @2 :UInt64;
+  ready @3 :Bool;  # has loaded all records, too, so that requests can be answered
 }
 
 # Asks the receiver not to campaign for a while: no node reaches the state service, and the
@@ -27,8 +28,8 @@
   holdMs @2 :UInt32;
 }
 
-# A user's or worker's request passed on to the leader, or a request to the state service from
-# a node that cannot reach it itself.
+# A user's or worker's request passed on to the leader, or a request to the state service or to a
+# worker from a node that cannot reach it itself.
 struct Request {
   id @0 :UInt64;
   method @1 :Text;
@@ -39,7 +40,9 @@
   enum Purpose {
     leader @0;
     stateService @1;
+    worker @2;
   }
+  worker @5 :Text;  # its address, with that purpose
 }
 
 struct Reply {
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -4,6 +4,7 @@
 #include <capnp/serialize.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <cstring>
 #include <vector>
 
@@ -17,7 +18,8 @@
 
 constexpr std::size_t maxFrame = 1024 * 1024;
 constexpr Duration helloEvery = 500ms;
-constexpr Duration silence = 3s;  // a peer that says nothing for this long is not there
+constexpr std::size_t detourTries = 2;  // peers asked to reach a worker
+constexpr Duration silence = 3s;        // a peer that says nothing for this long is not there
 
 capnp::Data::Reader bytes(const std::string& s) {
     return {reinterpret_cast<const kj::byte*>(s.data()), s.size()};
@@ -39,6 +41,7 @@
         h.setNode(m.hello->node.c_str());
         h.setLeading(m.hello->leading);
         h.setToken(m.hello->token);
+        h.setReady(m.hello->ready);
     } else if (m.request) {
         auto r = frame.initRequest();
         r.setId(m.id);
@@ -46,7 +49,9 @@
         r.setTarget(m.request->target.c_str());
         r.setBody(bytes(m.request->body));
         r.setPurpose(m.purpose == Purpose::stateService ? wire::Request::Purpose::STATE_SERVICE
+                     : m.purpose == Purpose::worker     ? wire::Request::Purpose::WORKER
                                                         : wire::Request::Purpose::LEADER);
+        if (m.purpose == Purpose::worker) r.setWorker(m.worker.c_str());
     } else if (m.pledge) {
         auto p = frame.initPledge();
         p.setId(m.id);
@@ -84,7 +89,7 @@
         const auto frame = reader.getRoot<wire::Frame>();
         if (frame.isHello()) {
             const auto h = frame.getHello();
-            into.hello = Hello{text(h.getNode()), h.getLeading(), h.getToken()};
+            into.hello = Hello{text(h.getNode()), h.getLeading(), h.getToken(), h.getReady()};
         } else if (frame.isRequest()) {
             const auto r = frame.getRequest();
             into.id = r.getId();
@@ -92,6 +97,10 @@
                 http::Request{text(r.getMethod()), text(r.getTarget()), text(r.getBody())};
             if (r.getPurpose() == wire::Request::Purpose::STATE_SERVICE)
                 into.purpose = Purpose::stateService;
+            if (r.getPurpose() == wire::Request::Purpose::WORKER) {
+                into.purpose = Purpose::worker;
+                into.worker = text(r.getWorker());
+            }
         } else if (frame.isPledge()) {
             const auto p = frame.getPledge();
             into.id = p.getId();
@@ -236,7 +245,8 @@
     if (asked.pledge) {
         m.reply = http::Response{hooks_.pledge(*asked.pledge) ? 200 : 409, ""};
     } else {
-        http::Response response = co_await hooks_.serve(asked.purpose, std::move(*asked.request));
+        http::Response response = co_await hooks_.serve(asked.purpose, std::move(*asked.request),
+                                                        std::move(asked.worker));
         m.reply = std::move(response);
     }
     if (!link->broken) say(*link, m);
@@ -248,6 +258,7 @@
     auto pending = std::make_shared<Pending>(loop_);
     pending->node = node;
     pending->id = message.id = nextId_++;
+    pending->forLeader = message.request && message.purpose == Purpose::leader;
     pending_[pending->id] = pending;
     say(*it->second, message);
     return pending;
@@ -293,6 +304,40 @@
     co_return all;
 }
 
+void Mesh::leaderIs(const std::string& node) {
+    for (auto& [id, p] : pending_) {
+        if (!p->forLeader || p->node == node || p->response) continue;
+        p->lost = true;
+        p->done.notify();
+    }
+}
+
+Task<http::Outcome> Mesh::toWorker(std::string zone, std::string worker, http::Request request,
+                                   Duration patience, Scope& scope) {
+    std::vector<settings::Peer> order = peers_;
+    std::stable_partition(order.begin(), order.end(),
+                          [&](const auto& p) { return p.zone == zone; });
+    http::Outcome last;
+    std::size_t asked = 0;
+    for (const auto& p : order) {
+        if (!connected(p.name) || asked++ == detourTries) continue;
+        Message m;
+        m.request = request;
+        m.purpose = Purpose::worker;
+        m.worker = worker;
+        auto pending = post(p.name, std::move(m));
+        auto o = co_await await(pending, loop_.now() + patience, scope);
+        // 502: it did not reach the worker at all; 504: the worker may have got it.
+        if (o.answered && o.response.status != 502 && o.response.status != 504) {
+            o.sent = o.sent || last.sent;
+            co_return o;
+        }
+        last.sent = last.sent || !o.answered || o.response.status == 504;
+        if (scope.cancelled()) break;
+    }
+    co_return last;
+}
+
 Task<http::Outcome> Mesh::viaPeers(http::Request request, Duration patience, Scope& scope) {
     http::Outcome last;
     for (const auto& p : peers_) {
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -18,8 +18,9 @@
     std::string node;
     bool leading = false;
     Token token = 0;
+    bool ready = false;  // has loaded all records as well
 };
-enum class Purpose { leader, stateService };
+enum class Purpose { leader, stateService, worker };
 struct Pledge {
     Token token = 0;
     std::chrono::milliseconds hold{};
@@ -30,6 +31,7 @@
     std::optional<http::Response> reply;
     std::uint64_t id = 0;
     Purpose purpose = Purpose::leader;
+    std::string worker;  // its address, for the purpose of that name
     std::optional<Pledge> pledge;
 };
 std::string encode(const Message& message);
@@ -43,7 +45,8 @@
     struct Hooks {
         std::function<Hello()> hello;
         std::function<void(const Hello&)> heard;
-        std::function<Task<http::Response>(Purpose, http::Request)> serve;
+        /// `worker`: its address, for the purpose of that name.
+        std::function<Task<http::Response>(Purpose, http::Request, std::string worker)> serve;
         std::function<bool(const Pledge&)> pledge;
     };
     Mesh(Loop& loop, const settings::Settings& settings, Hooks hooks);
@@ -54,6 +57,13 @@
     Task<bool> pledgeAll(Pledge pledge, Duration patience, Scope& scope);
     /// Through whichever other node reaches the state service.
     Task<http::Outcome> viaPeers(http::Request request, Duration patience, Scope& scope);
+    /// Through a peer to a worker: one in that zone first, since it may be cut from the others.
+    /// `sent` if some peer may have passed it on without an answer.
+    Task<http::Outcome> toWorker(std::string zone, std::string worker, http::Request request,
+                                 Duration patience, Scope& scope);
+    /// Another node leads and is ready: what was passed on to a former leader is not waited for any
+    /// longer.
+    void leaderIs(const std::string& node);
     [[nodiscard]] bool connected(const std::string& node) const;
     /// Tells every peer at once that something about this node has changed.
     void announce();
@@ -73,6 +83,7 @@
         bool lost = false;
         std::uint64_t id = 0;
         std::string node;
+        bool forLeader = false;
     };
     Task<void> dial(settings::Peer peer, Scope& scope);
     Task<void> acceptAll(Scope& scope);
--- a/src/mesh/mesh_test.cpp
+++ b/src/mesh/mesh_test.cpp
@@ -2,9 +2,13 @@
 
 #include <gtest/gtest.h>
 
+#include "testing/world.h"
+
 namespace basaltchute::mesh {
 namespace {
 
+using namespace std::chrono_literals;
+
 TEST(Mesh, FramesComeBackWholeHoweverTheyAreCut) {
     Message m;
     m.id = 7;
@@ -26,6 +30,58 @@
     EXPECT_TRUE(data.empty());
 }
 
+TEST(Mesh, WhatASilentLeaderWasAskedIsNotWaitedForOnceAnotherOneIsReady) {
+    // A leader that stands still keeps its connections: requests passed on to it timed out with
+    // their users, long after another node had taken over.
+    testing::World world;
+    std::vector<std::unique_ptr<Mesh>> nodes;
+    std::vector<settings::Settings> settings;
+    for (int i = 0; i < 2; ++i) {
+        auto s = testing::someSettings();
+        s.node = "rig-" + std::to_string(i);
+        s.meshListen = testing::freeAddress();
+        settings.push_back(s);
+    }
+    settings[0].peers = {{"rig-1", "a", settings[1].meshListen}};
+    settings[1].peers = {{"rig-0", "a", settings[0].meshListen}};
+    int asked = 0;
+    for (auto& s : settings) {
+        nodes.push_back(std::make_unique<Mesh>(
+            world.loop, s,
+            Mesh::Hooks{[&s] {
+                            return Hello{s.node, false, 0, false};
+                        },
+                        [](const Hello&) {},
+                        [&](Purpose, http::Request, std::string) -> Task<http::Response> {
+                            ++asked;
+                            co_await world.loop.sleep(60s, world.scope);
+                            co_return http::Response{};
+                        },
+                        [](const Pledge&) { return false; }}));
+        nodes.back()->start(world.scope);
+    }
+    world.run(1s);
+    ASSERT_TRUE(nodes[0]->connected("rig-1"));
+    http::Outcome out;
+    bool done = false;
+    const TimePoint since = world.clock.now();
+    world.loop.spawn([](Mesh& m, Scope& scope, http::Outcome& o, bool& flag) -> Task<void> {
+        http::Request request{"GET", "/v1/jobs/run-1", ""};
+        o = co_await m.forward("rig-1", std::move(request), 4s, scope);
+        flag = true;
+    }(*nodes[0], world.scope, out, done));
+    world.run(500ms);
+    EXPECT_EQ(asked, 1);
+    nodes[0]->leaderIs("rig-1");
+    world.run(100ms);
+    EXPECT_FALSE(done) << "it leads still";
+    nodes[0]->leaderIs("rig-2");
+    world.until([&] { return done; });
+    EXPECT_FALSE(out.answered);
+    EXPECT_LT(world.clock.now() - since, 1s);
+    world.end(world.scope);
+}
+
 TEST(Mesh, MalformedAndOversizedFramesAreBroken) {
     Message out;
     std::string huge("\xff\xff\xff\x7f", 4);
--- a/src/scheduler/cluster.cpp
+++ b/src/scheduler/cluster.cpp
@@ -130,8 +130,8 @@
     now_ = now;
     Job& ref = *job;
     jobs_[spec.id] = std::move(job);
-    spdlog::debug("{} of {}: {} tasks of {} cores, {:.0f} s each, rank {}, saves every {} s", spec.id,
-                  spec.jobClass, spec.tasks, spec.demand.cores, spec.estimateS,
+    spdlog::debug("{} of {}: {} tasks of {} cores, {:.0f} s each, rank {}, saves every {} s",
+                  spec.id, spec.jobClass, spec.tasks, spec.demand.cores, spec.estimateS,
                   static_cast<int>(spec.priority), spec.checkpointS);
     opened(ref);
     touch(ref, 0, Urgency::users);
--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -50,7 +50,8 @@
     enum class Source { beat, direct };
     void report(const workers::Report& report, Source source, TimePoint now);
     std::vector<workers::Order> directOrders(MachineIndex machine, TimePoint now);
-    void directEnded(MachineIndex machine, bool sent, bool answered);
+    /// `unanswered`: some copy of the orders left and may be executed yet.
+    void directEnded(MachineIndex machine, bool unanswered);
     /// It was silent and has not answered when asked either.
     void unanswered(MachineIndex machine) { ++machines_[machine].unanswered; }
     /// Where a machine that has not reported yet can be asked, as the cloud lists it.
--- a/src/scheduler/cluster_test.cpp
+++ b/src/scheduler/cluster_test.cpp
@@ -165,7 +165,7 @@
     commit();
     const auto m = *cluster->machines().find("n-1");
     ASSERT_EQ(cluster->directOrders(m, clock.now()).size(), 1U);
-    cluster->directEnded(m, true, false);  // sent, no answer: it may arrive minutes later
+    cluster->directEnded(m, true);  // sent, no answer: it may arrive minutes later
     cluster->cancel(job);
     commit();
     // Made known and ended in one go, so that the late launch is a repetition.
--- a/src/scheduler/reports.cpp
+++ b/src/scheduler/reports.cpp
@@ -197,7 +197,8 @@
     m.heardAt = now;
     m.unanswered = 0;
     m.reportBytes = r.bytes;
-    if ((room_.of(index) != nullptr) != open(m)) changed(index);  // silent for a while, new, or full
+    if ((room_.of(index) != nullptr) != open(m))
+        changed(index);  // silent for a while, new, or full
     attendAt(index, now + settings_.reportEvery * 2);
     if (r.notice) {
         if (!m.recalledAt) {
@@ -316,13 +317,13 @@
     return out;
 }
 
-void Cluster::directEnded(MachineIndex machine, bool sent, bool answered) {
+void Cluster::directEnded(MachineIndex machine, bool unanswered) {
     Machine& m = machines_[machine];
     m.directBusy = false;
     for (auto& c : m.charges) {
         if (!c.directPending) continue;
         c.directPending = false;
-        if (sent && !answered) c.directUnknown = true;
+        if (unanswered) c.directUnknown = true;
     }
 }
 
--- a/src/testing/world.h
+++ b/src/testing/world.h
@@ -78,6 +78,10 @@
     http::Server server_;
 };
 
+/// A port that was free a moment ago, for settings that must name it beforehand; on an address of
+/// this process alone, or tests that run beside it could take it meanwhile.
+std::string freeAddress();
+
 /// Plays the state service for a cluster: everything dirty is written and said to stand.
 void commitAll(scheduler::Cluster& cluster, std::map<std::string, std::string>& records);
 
--- a/src/testing/world_test.cpp
+++ b/src/testing/world_test.cpp
@@ -1,5 +1,7 @@
 #include "testing/world.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 
 namespace basaltchute::testing {
@@ -35,6 +37,15 @@
     until([&] { return done; });
 }
 
+std::string freeAddress() {
+    const FakeClock clock;
+    Loop loop(clock);
+    const auto id = static_cast<unsigned>(::getpid());
+    const auto part = [&](unsigned shift) { return std::to_string(id >> shift & 0xffU); };
+    const std::string net = "127." + std::to_string(1 + (id >> 16 & 0x7fU)) + '.';
+    return Listener(loop, net + part(8) + '.' + part(0) + ":0").address();
+}
+
 void commitAll(scheduler::Cluster& cluster, std::map<std::string, std::string>& records) {
     for (auto e = cluster.take(); !e.dirty.empty(); e = cluster.take())
         for (const auto& d : e.dirty) {
--- /dev/null
+++ b/src/workers/reach.cpp
@@ -0,0 +1,61 @@
+#include "workers/reach.h"
+
+#include <spdlog/spdlog.h>
+
+namespace basaltchute::workers {
+
+using namespace std::chrono_literals;
+
+namespace {
+constexpr std::size_t cutAfter = 2;  // machines: a single one that does not answer is dead itself
+constexpr Duration probeEvery = 2s;
+constexpr Duration probePatience = 500ms;
+}  // namespace
+
+bool Reach::cut(const std::string& zone) const {
+    const auto way = ways_.find(zone);
+    return way != ways_.end() && way->second.failed.size() >= cutAfter;
+}
+
+Task<http::Outcome> Reach::direct(const Target& target, http::Request request, Duration patience,
+                                  Scope& scope) {
+    const auto client = direct_.to(target.machine, target.address);
+    auto outcome = co_await client->request(std::move(request), patience, scope);
+    if (scope.cancelled()) co_return outcome;
+    Way& way = ways_[target.zone];
+    const bool before = way.failed.size() >= cutAfter;
+    if (outcome.answered)
+        way.failed.clear();
+    else
+        way.failed.insert(target.machine);
+    const bool after = way.failed.size() >= cutAfter;
+    if (before != after)
+        spdlog::info("workers in {} are reached {}", target.zone,
+                     after ? "through other nodes: they do not answer this one" : "directly again");
+    co_return outcome;
+}
+
+Task<void> Reach::probe(Target target, Scope& scope) {
+    http::Request question{"GET", "/inspect", ""};
+    co_await direct(target, std::move(question), probePatience, scope);
+}
+
+Task<Reach::Reached> Reach::request(Target target, http::Request request, Duration patience,
+                                    bool insist, Scope& scope) {
+    Reached out;
+    if (!cut(target.zone)) {
+        http::Request copy = request;
+        out.outcome = co_await direct(target, std::move(copy), patience, scope);
+        if (out.outcome.answered || scope.cancelled()) co_return out;
+        out.stray = out.outcome.sent;
+        if (!insist && !cut(target.zone)) co_return out;
+    } else if (Way& way = ways_[target.zone]; loop_.now() >= way.nextProbe) {
+        way.nextProbe = loop_.now() + probeEvery;
+        scope.spawn(probe(target, scope));
+    }
+    out.outcome = co_await detour_(target, std::move(request), patience, scope);
+    out.stray = out.stray || (out.outcome.sent && !out.outcome.answered);
+    co_return out;
+}
+
+}  // namespace basaltchute::workers
--- /dev/null
+++ b/src/workers/reach.h
@@ -0,0 +1,53 @@
+#pragma once
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+#include "workers/connections.h"
+
+namespace basaltchute::workers {
+
+/// How workers are reached for direct orders and questions: by this node's own way, and over a
+/// peer while that is cut. A leader that loses the workers alone hears them through followers all
+/// the same; its orders would wait for their next reports.
+class Reach {
+  public:
+    struct Target {
+        MachineIndex machine = noMachine;
+        std::string zone, address;
+    };
+    /// Asks a peer, one in that zone if there is one, to pass the request on.
+    using Detour = std::function<Task<http::Outcome>(Target, http::Request, Duration, Scope&)>;
+    Reach(Loop& loop, std::size_t sockets, Detour detour)
+        : loop_(loop), direct_(loop, sockets), detour_(std::move(detour)) {}
+
+    struct Reached {
+        http::Outcome outcome;
+        /// A copy left and was not answered: it may be executed yet, whatever the outcome is.
+        bool stray = false;
+    };
+    /// `insist`: over a peer too, even if only this machine seems not to be reached.
+    Task<Reached> request(Target target, http::Request request, Duration patience, bool insist,
+                          Scope& scope);
+    /// Whether this node's own way to the zone's workers seems to be cut.
+    [[nodiscard]] bool cut(const std::string& zone) const;
+
+  private:
+    /// Machines that could not be reached since one in the zone last was.
+    struct Way {
+        std::set<MachineIndex> failed;
+        TimePoint nextProbe{};
+    };
+    Task<http::Outcome> direct(const Target& target, http::Request request, Duration patience,
+                               Scope& scope);
+    /// Finds out whether the own way works again, with a question that no order depends on.
+    Task<void> probe(Target target, Scope& scope);
+
+    Loop& loop_;
+    Connections direct_;
+    Detour detour_;
+    std::map<std::string, Way> ways_;
+};
+
+}  // namespace basaltchute::workers
--- /dev/null
+++ b/src/workers/reach_test.cpp
@@ -0,0 +1,86 @@
+#include "workers/reach.h"
+
+#include <gtest/gtest.h>
+
+#include "testing/world.h"
+
+namespace basaltchute::workers {
+namespace {
+
+using namespace std::chrono_literals;
+
+TEST(Reach, TakesADetourWhenItsOwnWayIsCutAndComesBack) {
+    // A leader that had lost the workers alone waited for each direct order, then for the worker's
+    // next report: with reports every 10 s no replica started in time for 65 s.
+    testing::World world;
+    bool reachable = false;
+    int direct = 0, detours = 0;
+    http::Server worker(world.loop, "127.0.0.1:0", {}, [&](http::Request) -> Task<http::Response> {
+        ++direct;
+        co_return http::Response{200, "{}"};
+    });
+    worker.start(world.scope);
+    Reach reach(world.loop, 10,
+                [&](Reach::Target, http::Request, Duration, Scope&) -> Task<http::Outcome> {
+                    ++detours;
+                    co_return http::Outcome{true, true, {200, "{}"}};
+                });
+    Reach::Reached last;
+    const auto order = [&](MachineIndex machine, bool insist) {
+        bool done = false;
+        const std::string address = reachable ? worker.address() : "127.0.0.1:1";
+        world.loop.spawn([](Reach& r, Reach::Target t, bool again, Scope& scope,
+                            Reach::Reached& out, bool& flag) -> Task<void> {
+            http::Request request{"POST", "/commands", "{}"};
+            out = co_await r.request(std::move(t), std::move(request), 1s, again, scope);
+            flag = true;
+        }(reach, {machine, "a", address}, insist, world.scope, last, done));
+        world.until([&] { return done; });
+        return last.outcome.answered;
+    };
+    EXPECT_FALSE(order(1, false)) << "one machine alone is its own fault";
+    EXPECT_FALSE(order(1, false));
+    EXPECT_EQ(detours, 0);
+    EXPECT_TRUE(order(1, true)) << "unless it is about to be given up";
+    EXPECT_TRUE(order(2, false));
+    EXPECT_EQ(detours, 2);
+    EXPECT_TRUE(reach.cut("a"));
+    EXPECT_FALSE(reach.cut("b"));
+    reachable = true;
+    EXPECT_TRUE(order(3, false));
+    EXPECT_EQ(detours, 3) << "orders do not try out the way";
+    world.run(3s);
+    EXPECT_EQ(direct, 1) << "but a question beside them does";
+    EXPECT_TRUE(order(4, false));
+    EXPECT_EQ(detours, 3);
+    world.end(world.scope);
+}
+
+TEST(Reach, ACopyThatWentUnansweredIsToldOfWhateverTheDetourBrings) {
+    // The first copy of a launch may be executed minutes later: its attempt must stay known.
+    testing::World world;
+    http::Server silent(world.loop, "127.0.0.1:0", {}, [&](http::Request) -> Task<http::Response> {
+        co_await world.loop.sleep(30s, world.scope);
+        co_return http::Response{200, "{}"};
+    });
+    silent.start(world.scope);
+    Reach reach(world.loop, 10,
+                [&](Reach::Target, http::Request, Duration, Scope&) -> Task<http::Outcome> {
+                    co_return http::Outcome{true, true, {200, "{}"}};
+                });
+    bool done = false;
+    Reach::Reached last;
+    world.loop.spawn(
+        [](Reach& r, Reach::Target t, Scope& scope, Reach::Reached& out, bool& flag) -> Task<void> {
+            http::Request request{"POST", "/commands", "{}"};
+            out = co_await r.request(std::move(t), std::move(request), 1s, true, scope);
+            flag = true;
+        }(reach, {1, "a", silent.address()}, world.scope, last, done));
+    world.until([&] { return done; });
+    EXPECT_TRUE(last.outcome.answered);
+    EXPECT_TRUE(last.stray);
+    world.end(world.scope);
+}
+
+}  // namespace
+}  // namespace basaltchute::workers
