A grant of 1.2 s with touches given up in time; warm room for the largest job

Change: the grant lives 1.2 s, a touch gives up after a quarter of that (it waited 0.7 s, more than a short grant allows) and so does each peer; places kept warm per image follow the largest job.

--- a/src/leadership/leadership.cpp
+++ b/src/leadership/leadership.cpp
@@ -31,11 +31,12 @@
       startedAt_(loop.now()) {}
 
 Duration Leadership::lifeFor(const settings::Settings& s) {
-    // Short for quick take-over, long enough to sit out a slow answer or two; and a displaced
-    // leader's last answer plus a whole lease must end before a cancellation's time is up.
+    // Short for quick take-over, long enough for a touch that is not answered, by the service and
+    // then by a peer, and for another peer after that; and a displaced leader's last answer plus a
+    // whole lease must end before a cancellation's time is up.
     const Duration byLease = s.lease / 6;
     const Duration byCancel = (s.cancelWithin - s.lease) / 4;
-    return std::clamp(std::min(byLease, byCancel), Duration(1s), Duration(1600ms));
+    return std::clamp(std::min(byLease, byCancel), Duration(1s), Duration(1200ms));
 }
 
 void Leadership::extend(TimePoint sentAt, Duration life) {
@@ -177,11 +178,11 @@
     known_ = LeaderHint{node_, token_};
     spdlog::info("leading with token {}", token_);
     hooks_.elected(token_, state::Guard{holderKey, holder_});
-    Duration pause = life_ / 5;
+    Duration pause = life_ / 6;
     while (!scope.cancelled() && !resign_ && loop_.now() < rightUntil_) {
         co_await loop_.wait(changed_, std::min(loop_.now() + pause, rightUntil_), scope);
         if (resign_ || scope.cancelled() || loop_.now() >= rightUntil_) break;
-        const state::Granted touched = co_await client_.touch(grant_, scope);
+        const state::Granted touched = co_await client_.touch(grant_, life_ / 4, scope);
         stateAnswers_ = touched.verdict == Verdict::ok;
         if (touched.verdict == Verdict::ok) {
             extend(touched.sentAt, life_);
@@ -194,7 +195,7 @@
             if (all && loop_.now() < rightUntil_) extend(askedAt, pledgeHold);
         }
         if (touched.verdict == Verdict::notFound) stepDown("the grant has ended");
-        pause = touched.verdict == Verdict::ok ? life_ / 5 : Duration(100ms);
+        pause = touched.verdict == Verdict::ok ? life_ / 6 : Duration(100ms);
     }
     if (!resign_) spdlog::warn("the right to act ended: the grant could not be renewed");
     rightUntil_ = TimePoint{};
--- a/src/scheduler/cluster.cpp
+++ b/src/scheduler/cluster.cpp
@@ -158,7 +158,8 @@
 void Cluster::opened(Job& job) {
     open_.push_back(&job);
     if (wantsWarm(job.spec))
-        room_.wantWarm(job.spec.jobClass, job.spec.priority, job.spec.demand, job.spec.image);
+        room_.wantWarm(job.spec.jobClass, job.spec.priority, job.spec.demand, job.spec.image,
+                       job.spec.tasks);
     listWaiting(job);
 }
 
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-constexpr std::uint32_t warmRoom = 3;  // places for tasks of a class that must start at once
 constexpr Duration overdueTurn = 240s;
 constexpr Duration settledReplica = 40s;     // a start that is stopped sooner does not count as one
 constexpr Duration nextLook = 1s;            // what waits is looked at again, as its order changes
@@ -206,8 +205,7 @@
     double bestCost = std::numeric_limits<double>::infinity();
     const auto usable = [&](MachineIndex i) {
         ++looks_;
-        if (!placeable(job, i, now) || !room_.staysWarm(i, s.demand, s.priority, warmRoom))
-            return false;
+        if (!placeable(job, i, now) || !room_.staysWarm(i, s.demand, s.priority)) return false;
         Demand free = room_.of(i)->free;
         if (const auto p = planned.find(i); p != planned.end()) free -= p->second.demand;
         // Room that is being made is not for those who had to give way: they once took each piece
@@ -327,7 +325,7 @@
             }
             if (!fits(s.demand, room) || loss >= bestLoss) return;
             // Room that must stay warm for others would not be taken: nobody is stopped for it.
-            if (!room_.staysWarm(i, taken, s.priority, warmRoom)) return;
+            if (!room_.staysWarm(i, taken, s.priority)) return;
             bestLoss = loss;
             best = i;
             victims = std::move(chosen);
--- a/src/scheduler/room.cpp
+++ b/src/scheduler/room.cpp
@@ -86,10 +86,11 @@
 }
 
 void Room::wantWarm(const std::string& jobClass, Priority rank, const Demand& each,
-                    const std::string& image) {
+                    const std::string& image, std::uint32_t tasks) {
     Warm& w = warm_[jobClass];
     ++w.jobs[image];
     w.rank = rank;
+    w.keep = std::max(w.keep, tasks);
     // The most that any of its jobs asked for: that is counted anew a few times at most, however
     // much jobs differ.
     if (fits(each, w.each)) return;
@@ -108,8 +109,7 @@
     if (w->second.jobs.empty()) warm_.erase(w);
 }
 
-bool Room::staysWarm(MachineIndex machine, const Demand& taken, Priority rank,
-                     std::uint32_t keep) const {
+bool Room::staysWarm(MachineIndex machine, const Demand& taken, Priority rank) const {
     const Offer* o = of(machine);
     if (o == nullptr || o->spot) return true;
     Demand left = o->free;
@@ -121,7 +121,7 @@
         for (const auto& image : o->images) {
             if (!w.jobs.contains(image)) continue;
             const auto room = w.room.find(image);
-            if (room == w.room.end() || room->second < keep + (before - after)) return false;
+            if (room == w.room.end() || room->second < w.keep + (before - after)) return false;
         }
     }
     return true;
@@ -131,7 +131,8 @@
     Room plain;
     for (const auto& [name, w] : warm_)
         for (const auto& [image, jobs] : w.jobs)
-            for (std::uint32_t i = 0; i < jobs; ++i) plain.wantWarm(name, w.rank, w.each, image);
+            for (std::uint32_t i = 0; i < jobs; ++i)
+                plain.wantWarm(name, w.rank, w.each, image, w.keep);
     for (const auto& [machine, o] : offers_) plain.offer(machine, o);
     return plain;
 }
--- a/src/scheduler/room.h
+++ b/src/scheduler/room.h
@@ -99,11 +99,10 @@
     // Warm room: on ordinary machines that have the images of a class whose tasks must start at
     // once. A class counts what the largest of its jobs asked for, images while a job is open.
     void wantWarm(const std::string& jobClass, Priority rank, const Demand& each,
-                  const std::string& image);
+                  const std::string& image, std::uint32_t tasks);
     void unwantWarm(const std::string& jobClass, const std::string& image);
-    /// Whether work of this rank may take that much there and leave `keep` places warm.
-    [[nodiscard]] bool staysWarm(MachineIndex machine, const Demand& taken, Priority rank,
-                                 std::uint32_t keep) const;
+    /// Whether work of this rank may take that much there and leave enough places warm.
+    [[nodiscard]] bool staysWarm(MachineIndex machine, const Demand& taken, Priority rank) const;
 
     /// The same counted plainly, from the offers alone.
     [[nodiscard]] Room recount() const;
@@ -115,6 +114,7 @@
     struct Warm {
         Priority rank = Priority::production;
         Demand each;
+        std::uint32_t keep = 3;  // places per image: for all tasks of the largest job
         std::map<std::string, std::uint32_t> jobs, room;  // by image
         bool operator==(const Warm&) const = default;
     };
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 #include "json/json.h"
 
 namespace basaltchute::state {
@@ -67,7 +69,7 @@
         if (served || !relay_ || scope.cancelled()) co_return first;
         directBadUntil_ = loop_.now() + avoidDirect;
     }
-    auto relayed = co_await relay_(std::move(request), relayPatience, scope);
+    auto relayed = co_await relay_(std::move(request), std::min(wait, relayPatience), scope);
     if (!relayed.answered) {
         directBadUntil_ = TimePoint{};
         // It may have been executed by either way.
@@ -180,12 +182,12 @@
     co_return g;
 }
 
-Task<Granted> Client::touch(GrantId id, Scope& scope) {
+Task<Granted> Client::touch(GrantId id, Duration wait, Scope& scope) {
     http::Request request{"POST", "/grants/" + std::to_string(id) + "/touch", ""};
     Granted g;
     g.id = id;
     g.sentAt = loop_.now();
-    auto o = co_await send(std::move(request), 700ms, scope);
+    auto o = co_await send(std::move(request), wait, scope);
     g.verdict = verdictOf(o);
     co_return g;
 }
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -64,7 +64,8 @@
     Task<Found> get(std::string key, Scope& scope);
     Task<Listing> list(std::string prefix, Scope& scope);
     Task<Granted> grant(Duration life, Scope& scope);
-    Task<Granted> touch(GrantId id, Scope& scope);
+    /// `patience`: for the service, and again for each peer that is asked instead.
+    Task<Granted> touch(GrantId id, Duration patience, Scope& scope);
     Task<void> drop(GrantId id, Scope& scope);
     /// Ends when something under the prefix changes after `after`, or after `patience`.
     Task<Verdict> watch(std::string prefix, Revision after, Duration patience, Scope& scope);
