Absent nodes on record; work without an objective yields; hurried guests rent on top

Change: a leader puts on record which few nodes are silent. Those may not campaign, by the guard of the campaign itself, so their pledge is not needed; most must stay able to. Work without an objective goes after work that can meet one, its turn comes after 900 s. Guests in a hurry that wait in vain, and the spot machines they use, come on top of what patient ones ask for.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -17,6 +17,7 @@
 constexpr Duration pledgePatience = 500ms;
 constexpr Duration statePatience = 500ms;  // on behalf of a peer
 constexpr Duration workerPatience = 1s;    // likewise
+constexpr Duration absentAfter = 5s;       // on top of the silence that ends a connection
 constexpr Duration userPatience = 4s;      // users wait for 5 s
 constexpr Duration relayPatience = 3s;     // a worker drops what comes after 4 s
 
@@ -82,16 +83,15 @@
                mesh_.announce();
                co_await reign->end();
            },
-           [this](Token token, Duration hold) -> Task<bool> {
+           [this](Token token, Duration hold, const std::set<std::string>& absent) {
                const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(hold);
-               const mesh::Pledge pledge{token, ms};
-               const bool all = co_await mesh_.pledgeAll(pledge, pledgePatience, scope_);
-               co_return all;
+               return mesh_.pledgeAll({token, ms}, absent, pledgePatience, scope_);
            },
            [this] {
                return std::all_of(settings_.peers.begin(), settings_.peers.end(),
                                   [&](const auto& p) { return idlePeers_.contains(p.name); });
-           }}),
+           },
+           [this] { return mesh_.silentFor(absentAfter); }}),
       mesh_(loop, settings_,
             {[this] {
                  return mesh::Hello{settings_.node, leadership_.mayAct(), leadership_.token(),
--- a/src/app/controller_test.cpp
+++ b/src/app/controller_test.cpp
@@ -188,7 +188,8 @@
     Leadership other(
         world.loop, client, settings, "x",
         {[&](Token, state::Guard) { elected = true; }, []() -> Task<void> { co_return; },
-         [](Token, Duration) -> Task<bool> { co_return false; }, [] { return false; }});
+         [](Token, Duration, const std::set<std::string>&) -> Task<bool> { co_return false; },
+         [] { return false; }, [] { return std::set<std::string>{}; }});
     scope.spawn(other.run(scope));
     world.run(5s);
     EXPECT_TRUE(other.pledge(1, 3s));
@@ -204,6 +205,42 @@
     world.end(scope);
 }
 
+TEST_F(ControllerTest, ANodeOnRecordAsAbsentIsNotNeededInAnOutage) {
+    // One silent controller and an outage together once ended every lease: on a day of 25 s
+    // without the state service all replicas were killed.
+    start(2, 1);
+    world.run(10s);
+    ASSERT_TRUE(state.keys.contains("lead/absent"));
+    EXPECT_EQ(state.keys.at("lead/absent").data, R"({"nodes":["gone-0"]})");
+    state.down = true;
+    for (int s = 0; s < 20; ++s) {
+        world.run(1s);
+        EXPECT_EQ(ask(0, "GET", "/v1/jobs/run-9").response.status, 404) << s;
+    }
+    state.down = false;
+    world.run(2s);
+    EXPECT_EQ(state.keys.at("lead/token").data, R"({"token":1})") << "nobody had to take over";
+}
+
+TEST_F(ControllerTest, ANodeOnRecordAsAbsentDoesNotCampaign) {
+    // A leader may act by the pledges of the others alone.
+    state.keys["lead/absent"] = {R"({"nodes":["rig-0"]})", 1, 0};
+    start(1);
+    world.run(10s);
+    EXPECT_FALSE(state.keys.contains("lead/holder"));
+    state.keys["lead/absent"].data = R"({"nodes":["rig-1"]})";
+    world.run(2s);
+    EXPECT_TRUE(state.keys.contains("lead/holder"));
+}
+
+TEST_F(ControllerTest, MostNodesAreNeverOnRecordAsAbsent) {
+    // Then the silent one is the leader, and those who could follow it must be free to.
+    start(1, 3);
+    world.run(15s);
+    ASSERT_TRUE(state.keys.contains("lead/holder"));
+    EXPECT_FALSE(state.keys.contains("lead/absent"));
+}
+
 TEST_F(ControllerTest, TheRightToActEndsBeforeTheGrantCan) {
     start(1, 1);  // the other node cannot pledge
     const Duration life = Leadership::lifeFor(nodes[0]->settings);
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -22,6 +22,7 @@
 constexpr Duration reportDelay = 1500ms;
 constexpr std::uint32_t askedInVain = 2;
 constexpr Duration lendingDelay = 60s;  // of borrowers' time: machines boot, and orders travel
+constexpr Duration foundNoRoom = 10s;
 constexpr Duration patientSpan = 600s;  // for borrowing work that no objective hurries any more
 constexpr Duration spareHold = 30s;     // how long an idle machine beyond the target is kept
 }  // namespace
@@ -130,7 +131,8 @@
     // Their work, spread over the time they have: a guest that is patient needs few cores for
     // long, and mostly finds them idle. Counted by classes like the rest, one guest's array once
     // had every machine of the cloud rented for it.
-    double pace = 0, hurried = 0;  // cores; and those for objectives that can still be met
+    double pace = 0, hurried = 0;  // cores: without hurry, and for objectives that can still be met
+    std::set<const Job*> inHurry;
     for (const Job* job : cluster_.openJobs()) {
         if (!cluster_.borrows(*job) || job->suspect || !job->spec.spotAllowed) continue;
         const double run = std::max(1.0, toSeconds(cluster_.runTime(job->spec)));
@@ -139,25 +141,31 @@
         const double over = turn.hopes ? run + std::max(0.0, left) : toSeconds(patientSpan);
         const double cores = job->spec.demand.cores;
         const double need = cores * (job->spec.tasks - job->doneCount) * run / over;
-        pace += need;
-        if (turn.hopes) hurried += std::max(0.0, need - cores * job->boundCount);
+        if (!turn.hopes) {
+            pace += need;
+            continue;
+        }
+        inHurry.insert(job);
+        // What has waited for a while finds no room, whatever seems idle: it is kept warm for
+        // others, or filled for long by work without hurry, which it may not preempt.
+        if (now - job->submittedAt > foundNoRoom)
+            hurried += cores * job->waitingCount() * run / over;
     }
-    if (pace == 0) return 0;
-    Have others, all;  // cores in use
+    if (pace == 0 && inHurry.empty()) return 0;
+    Have others;  // cores in use
     for (const auto& m : cluster_.machines())
         for (const auto& c : m.charges) {
             const double cores = c.job->spec.demand.cores;
-            (m.spot ? all.spot : all.ordinary) += cores;
-            if (!cluster_.borrows(*c.job)) (m.spot ? others.spot : others.ordinary) += cores;
+            if (!cluster_.borrows(*c.job))
+                (m.spot ? others.spot : others.ordinary) += cores;
+            else if (m.spot && inHurry.contains(c.job))
+                hurried += cores;
         }
     const Have there = have(false);
-    // Of idle ordinary machines much is kept warm for replicas. Work without hurry may fill the
-    // rest for long, and what is in a hurry does not preempt it.
-    const auto idle = [&](const Have& used) {
-        return std::max(0.0, there.ordinary - used.ordinary) / 2 +
-               std::max(0.0, std::min(there.spot, target_.spot) - used.spot);
-    };
-    return std::max({0.0, pace - idle(others), hurried - idle(all)});
+    // Of idle ordinary machines much is kept warm for replicas.
+    const double idle = std::max(0.0, there.ordinary - others.ordinary) / 2 +
+                        std::max(0.0, std::min(there.spot, target_.spot) - others.spot);
+    return std::max(0.0, pace - idle) + hurried;
 }
 
 double Fleet::coresOf(const std::string& type) const {
--- a/src/fleet/fleet_test.cpp
+++ b/src/fleet/fleet_test.cpp
@@ -182,8 +182,8 @@
         other.setCatalogue(testing::someCatalogue());
         Fleet fleet{other, clock.now()};
         fleet.listed({}, clock.now());
-        clock.advance(11s);
         other.submit(spec, clock.now(), clock.wall());
+        clock.advance(11s);
         unsigned cores = 0;
         for (const auto& r : fleet.plan(clock.now()).rent) cores += r.count * 8;
         return cores;
--- a/src/leadership/leadership.cpp
+++ b/src/leadership/leadership.cpp
@@ -15,8 +15,30 @@
 const std::string prefix = "lead/";
 const std::string holderKey = "lead/holder";
 const std::string tokenKey = "lead/token";
+const std::string absentKey = "lead/absent";
 constexpr Duration margin = 120ms;
 constexpr Duration pledgeHold = 3s;
+
+const state::Item* itemAt(const state::Listing& all, const std::string& key) {
+    const auto it = std::find_if(all.items.begin(), all.items.end(),
+                                 [&](const auto& i) { return i.key == key; });
+    return it == all.items.end() ? nullptr : &*it;
+}
+
+/// Nothing if it cannot be read: then nobody may rely on what it says.
+std::optional<std::set<std::string>> absentIn(const state::Item* item) {
+    if (item == nullptr) return std::set<std::string>{};
+    const auto doc = json::parse(item->data);
+    const auto* nodes = doc && doc->IsObject() ? json::array(*doc, "nodes") : nullptr;
+    if (nodes == nullptr) {
+        spdlog::error("the record of absent nodes is malformed: {}", item->data);
+        return std::nullopt;
+    }
+    std::set<std::string> out;
+    for (const auto& n : nodes->GetArray())
+        if (n.IsString()) out.insert(n.GetString());
+    return out;
+}
 }  // namespace
 
 Leadership::Leadership(Loop& loop, state::Client& client, const settings::Settings& s,
@@ -28,7 +50,8 @@
       life_(lifeFor(s)),
       hooks_(std::move(hooks)),
       changed_(loop),
-      startedAt_(loop.now()) {}
+      startedAt_(loop.now()),
+      others_(s.peers.size()) {}
 
 Duration Leadership::lifeFor(const settings::Settings& s) {
     // Short for quick take-over, long enough for a touch that is not answered, by the service and
@@ -98,9 +121,8 @@
             co_await loop_.sleep(200ms, scope);
             continue;
         }
-        const auto held = std::find_if(found.items.begin(), found.items.end(),
-                                       [](const auto& i) { return i.key == holderKey; });
-        if (held == found.items.end()) co_return;
+        const state::Item* held = itemAt(found, holderKey);
+        if (held == nullptr) co_return;
         const auto doc = json::parse(held->data);
         const auto node = doc ? json::string(*doc, "node") : std::nullopt;
         const auto token = doc ? json::count(*doc, "token") : std::nullopt;
@@ -135,14 +157,23 @@
 }
 
 Task<bool> Leadership::tryCampaign(Scope& scope) {
-    const state::Found last = co_await client_.get(tokenKey, scope);
-    if (last.verdict != Verdict::ok && last.verdict != Verdict::notFound) co_return false;
+    const state::Listing all = co_await client_.list(prefix, scope);
+    if (all.verdict != Verdict::ok || itemAt(all, holderKey) != nullptr) co_return false;
+    const state::Item* absent = itemAt(all, absentKey);
+    const auto listed = absentIn(absent);
+    if (!listed || listed->contains(node_)) {
+        // A leader went on without this node's pledge and may act still. It, or the next one,
+        // strikes this node off once it hears it.
+        co_await loop_.sleep(200ms, scope);
+        co_return false;
+    }
+    const state::Item* last = itemAt(all, tokenKey);
     Token next = 1;
-    if (last.item) {
-        const auto doc = json::parse(last.item->data);
+    if (last != nullptr) {
+        const auto doc = json::parse(last->data);
         const auto used = doc ? json::count(*doc, "token") : std::nullopt;
         if (!used) {
-            spdlog::error("the token counter is malformed: {}", last.item->data);
+            spdlog::error("the token counter is malformed: {}", last->data);
             co_await loop_.sleep(1s, scope);
             co_return false;
         }
@@ -156,7 +187,10 @@
     json::Out counter;
     counter.open().field("token", next).close();
     state::Transaction txn;
-    txn.guards = {{holderKey, 0}, {tokenKey, last.item ? last.item->revision : 0}};
+    // Guarded by what was read: a leader that has listed this node since is not displaced.
+    txn.guards = {{holderKey, 0},
+                  {tokenKey, last != nullptr ? last->revision : 0},
+                  {absentKey, absent != nullptr ? absent->revision : 0}};
     txn.puts = {{holderKey, holder.text(), grant.id}, {tokenKey, counter.text(), std::nullopt}};
     const state::Committed won = co_await client_.commit(std::move(txn), scope);
     if (won.verdict != Verdict::ok) {
@@ -167,12 +201,54 @@
     token_ = next;
     grant_ = grant.id;
     holder_ = won.revision;
+    absent_ = *listed;
+    written_ = listed;
+    absentAt_ = absent != nullptr ? absent->revision : 0;
+    recording_ = false;
     rightUntil_ = TimePoint{};
     resign_ = false;
     extend(grant.sentAt, life_);
     co_return true;
 }
 
+std::set<std::string> Leadership::fewSilent() const {
+    // Most must stay able to campaign; and where most are silent, the silent one is this node.
+    std::set<std::string> silent = hooks_.silent();
+    if (silent.size() * 2 >= others_ + 1) silent.clear();
+    return silent;
+}
+
+Task<void> Leadership::recordAbsent(std::set<std::string> silent, Scope& scope) {
+    const Token mine = token_;
+    recording_ = true;
+    // Whoever is struck off is relied on from now on; whoever is added, once that stands.
+    std::erase_if(absent_, [&](const auto& n) { return !silent.contains(n); });
+    json::Out out;
+    out.open().key("nodes").openArray();
+    for (const auto& n : silent) out.value(n);
+    out.closeArray().close();
+    state::Transaction txn;
+    txn.guards = {{holderKey, holder_}, {absentKey, absentAt_}};
+    txn.puts = {{absentKey, out.text(), std::nullopt}};
+    const state::Committed done = co_await client_.commit(std::move(txn), scope);
+    state::Found now;
+    if (done.verdict != Verdict::ok && !scope.cancelled())
+        now = co_await client_.get(absentKey, scope);
+    if (token_ != mine) co_return;  // another reign of this node: it has read for itself
+    recording_ = false;
+    if (done.verdict == Verdict::ok) {
+        spdlog::info("absent nodes on record: {}", silent.size());
+        absent_ = silent;
+        written_ = std::move(silent);
+        absentAt_ = done.revision;
+        co_return;
+    }
+    // Whether it stands is not known: written again, by the revision that is there now.
+    written_.reset();
+    if (now.verdict == Verdict::ok) absentAt_ = now.item->revision;
+    if (now.verdict == Verdict::notFound) absentAt_ = 0;
+}
+
 Task<void> Leadership::lead(Scope& scope) {
     leading_ = true;
     known_ = LeaderHint{node_, token_};
@@ -186,11 +262,14 @@
         stateAnswers_ = touched.verdict == Verdict::ok;
         if (touched.verdict == Verdict::ok) {
             extend(touched.sentAt, life_);
+            auto silent = fewSilent();
+            if (!recording_ && written_ != silent)
+                scope.spawn(recordAbsent(std::move(silent), scope));
         } else if (touched.verdict != Verdict::notFound) {
             // No node reaches the state service. While every other one pledges not to campaign,
             // nobody can lead but this one: the workers' leases live on through the outage.
             const TimePoint askedAt = loop_.now();
-            const bool all = co_await hooks_.pledgeAll(token_, pledgeHold);
+            const bool all = co_await hooks_.pledgeAll(token_, pledgeHold, absent_);
             // A right that has lapsed stays lapsed: others may have been told so meanwhile.
             if (all && loop_.now() < rightUntil_) extend(askedAt, pledgeHold);
         }
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -1,6 +1,7 @@
 #pragma once
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "state/client.h"
@@ -21,10 +22,13 @@
     struct Hooks {
         std::function<void(Token, state::Guard)> elected;
         std::function<Task<void>()> deposed;  // ends every duty of the leader before returning
-        /// Asks every other node not to campaign for a while; true if all agree.
-        std::function<Task<bool>(Token, Duration hold)> pledgeAll;
+        /// Asks every other node but `absent` not to campaign for a while; true if all agree.
+        std::function<Task<bool>(Token, Duration hold, const std::set<std::string>& absent)>
+            pledgeAll;
         /// Every other node has said, since this one started, that it does not lead.
         std::function<bool()> nobodyLeads;
+        /// Nodes that have not been reached for a while.
+        std::function<std::set<std::string>()> silent;
     };
     Leadership(Loop& loop, state::Client& client, const settings::Settings& settings,
                std::string incarnation, Hooks hooks);
@@ -52,6 +56,9 @@
     Task<void> lead(Scope& scope);
     void extend(TimePoint sentAt, Duration life);
     [[nodiscard]] bool mayCampaign() const;
+    /// Puts on record who is silent: those may not campaign, so that their pledge is not needed.
+    Task<void> recordAbsent(std::set<std::string> silent, Scope& scope);
+    [[nodiscard]] std::set<std::string> fewSilent() const;
 
     Loop& loop_;
     state::Client& client_;
@@ -66,6 +73,12 @@
     TimePoint rightUntil_{};
     TimePoint startedAt_, pledgedUntil_{};
     bool campaigning_ = false;
+    std::size_t others_ = 0;  // nodes beside this one
+    /// On record as absent, so that they cannot campaign; and what was written there last.
+    std::set<std::string> absent_;
+    std::optional<std::set<std::string>> written_;
+    state::Revision absentAt_ = 0;
+    bool recording_ = false;
     std::optional<LeaderHint> known_;
 };
 
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -126,7 +126,17 @@
 void Mesh::start(Scope& scope) {
     listener_ = std::make_unique<Listener>(loop_, listen_);
     scope.spawn(acceptAll(scope));
-    for (const auto& p : peers_) scope.spawn(dial(p, scope));
+    for (const auto& p : peers_) {
+        lastThere_[p.name] = loop_.now();
+        scope.spawn(dial(p, scope));
+    }
+}
+
+std::set<std::string> Mesh::silentFor(Duration span) const {
+    std::set<std::string> out;
+    for (const auto& [node, at] : lastThere_)
+        if (!connected(node) && loop_.now() - at > span) out.insert(node);
+    return out;
 }
 
 bool Mesh::connected(const std::string& node) const {
@@ -201,6 +211,7 @@
         link->broken = true;
         link->wake.notify();
         if (links_[peer.name] == link) links_.erase(peer.name);
+        lastThere_[peer.name] = loop_.now();
         for (auto& [id, p] : pending_) {
             if (p->node != peer.name || p->response) continue;
             p->lost = true;
@@ -288,10 +299,12 @@
     co_return out;
 }
 
-Task<bool> Mesh::pledgeAll(Pledge pledge, Duration patience, Scope& scope) {
+Task<bool> Mesh::pledgeAll(Pledge pledge, std::set<std::string> absent, Duration patience,
+                           Scope& scope) {
     const TimePoint until = loop_.now() + patience;
     std::vector<std::shared_ptr<Pending>> asked;
     for (const auto& p : peers_) {
+        if (absent.contains(p.name)) continue;
         Message m;
         m.pledge = pledge;
         asked.push_back(post(p.name, std::move(m)));
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "http/client.h"
@@ -53,8 +54,11 @@
     void start(Scope& scope);
     Task<http::Outcome> forward(std::string node, http::Request request, Duration patience,
                                 Scope& scope, Purpose purpose = Purpose::leader);
-    /// True only if every other node pledges in time.
-    Task<bool> pledgeAll(Pledge pledge, Duration patience, Scope& scope);
+    /// True only if every other node but `absent` pledges in time.
+    Task<bool> pledgeAll(Pledge pledge, std::set<std::string> absent, Duration patience,
+                         Scope& scope);
+    /// Nodes that there has been no connection to for so long.
+    [[nodiscard]] std::set<std::string> silentFor(Duration span) const;
     /// Through whichever other node reaches the state service.
     Task<http::Outcome> viaPeers(http::Request request, Duration patience, Scope& scope);
     /// Through a peer to a worker: one in that zone first, since it may be cut from the others.
@@ -102,6 +106,7 @@
     Hooks hooks_;
     std::unique_ptr<Listener> listener_;
     std::map<std::string, std::shared_ptr<Link>> links_;
+    std::map<std::string, TimePoint> lastThere_;  // when a connection to it was last there
     std::map<std::uint64_t, std::shared_ptr<Pending>> pending_;
     std::uint64_t nextId_ = 1;
 };
--- a/src/scheduler/cluster_test.cpp
+++ b/src/scheduler/cluster_test.cpp
@@ -531,6 +531,28 @@
     EXPECT_EQ(high.boundCount, 1U);
 }
 
+TEST_F(ClusterTest, WorkWithoutAnObjectiveGoesAfterWorkThatCanMeetOne) {
+    // Idle runs without an objective counted as the oldest, filled all idle room for long, and a
+    // guest's short jobs waited behind them until they were late: 0.29 of them in time.
+    settings.objectives = {{"finished", "c", 400s, 0.9}};
+    JobSpec idle = testing::spec("run-1", 2);
+    idle.jobClass = "other";
+    submit(idle);
+    clock.advance(300s);
+    submit(testing::spec("run-2", 2));
+    Worker w("n-1");
+    exchange(w);
+    place();
+    EXPECT_EQ(cluster->find("run-2")->boundCount, 2U);
+    EXPECT_EQ(cluster->find("run-1")->boundCount, 0U);
+    clock.advance(700s);  // but its turn comes
+    submit(testing::spec("run-3", 2));
+    Worker other("n-2");
+    exchange(other);
+    place();
+    EXPECT_EQ(cluster->find("run-1")->boundCount, 2U);
+}
+
 TEST_F(ClusterTest, WhatCanStillMeetItsObjectiveGoesBeforeWhatMissedIt) {
     settings.objectives = {{"wait", "c", 15s, 0.8}};
     JobSpec late = testing::spec("run-1", 2);
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr Duration overdueTurn = 240s;
+constexpr Duration patientTurn = 900s;
 constexpr Duration settledReplica = 40s;     // a start that is stopped sooner does not count as one
 constexpr Duration nextLook = 1s;            // what waits is looked at again, as its order changes
 constexpr std::size_t victimsLookedAt = 24;  // machines compared before work is stopped on one
@@ -46,6 +47,12 @@
         }
     }
     if (job.spec.deadlineS && !deadlines) consider(fromSeconds(*job.spec.deadlineS), run);
+    // Work that nobody has an objective for does not go before work that can still meet one, or
+    // whoever takes its time fills the room of those in a hurry; its turn comes late, but it does.
+    if (open.empty() && u.missed == 0) {
+        u.missed = 1;
+        last = patientTurn;
+    }
     std::sort(open.begin(), open.end());
     u.missed += std::min(given, open.size());
     u.hopes = given < open.size();
