Ask all machines once a few do not answer

Cause: machines die together while reports are 10 s apart; each was found when its own report was late. Change: when three do not answer, all that run something and were not heard of for 2.5 s are asked, the longest silent first; one whose report is not late yet is asked three times. What counts against a fifth of the fleet is who does not answer, not who is asked.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -21,6 +21,8 @@
 constexpr double runMargin = 2.0;          // owners' estimates of run times are rough
 constexpr Duration reportDelay = 1500ms;
 constexpr std::uint32_t askedInVain = 2;
+constexpr std::size_t fewDying = 3, sweepMost = 300;
+constexpr Duration sweepAge = 2500ms;  // a machine heard of since then is hardly dead
 constexpr Duration lendingDelay = 60s;  // of borrowers' time: machines boot, and orders travel
 constexpr Duration foundNoRoom = 10s;
 constexpr Duration patientSpan = 600s;  // for borrowing work that no objective hurries any more
@@ -325,8 +327,9 @@
     const auto& s = cluster_.settings();
     // Reports come as much as a quarter late.
     const Duration overdue = s.reportEvery * 5 / 4 + reportDelay;
-    std::size_t up = 0;
+    std::size_t up = 0, silent = 0;
     std::vector<const Machine*> lost;
+    std::vector<std::pair<TimePoint, MachineIndex>> unheard;
     for (MachineIndex i = 0; i < cluster_.machines().size(); ++i) {
         const Machine& m = cluster_.machines()[i];
         if (m.presence == Presence::gone || (!m.up() && m.charges.empty())) continue;
@@ -346,17 +349,32 @@
             continue;
         }
         // Waiting for its lease would leave its tasks down for longer than this takes.
-        if (now - heard <= overdue || m.charges.empty() || m.leaseEnd - now <= worthDeleting)
+        if (m.charges.empty() || m.leaseEnd - now <= worthDeleting || m.address.empty()) continue;
+        const bool late = now - heard > overdue;
+        if (!late && m.unanswered == 0) {
+            if (now - heard > sweepAge) unheard.emplace_back(heard, i);
             continue;
-        if (m.address.empty()) continue;
-        if (m.unanswered < askedInVain)
+        }
+        ++silent;
+        // One that is not even late is asked once more: it may only have hung for a moment.
+        if (m.unanswered < askedInVain + (late ? 0 : 1))
             plan.ask.push_back(i);
         else
             lost.push_back(&m);
     }
+    // Machines die together, and reports are seconds apart: once a few do not answer, the others
+    // are asked before their reports are late, those heard of longest ago first.
+    std::size_t dying = 0;
+    for (const auto& m : cluster_.machines()) dying += m.up() && m.unanswered > 0 ? 1 : 0;
+    if (dying >= fewDying && now - sweptAt_ >= s.reportEvery / 2) {
+        sweptAt_ = now;
+        std::sort(unheard.begin(), unheard.end());
+        if (unheard.size() > sweepMost) unheard.resize(sweepMost);
+        for (const auto& [heard, i] : unheard) plan.ask.push_back(i);
+    }
     // Many at once is a cut of this node's own network, or its own starvation; the machines are
     // well and deleting them would be the damage.
-    if (lost.size() + plan.ask.size() > std::max<std::size_t>(1, up / 5)) return;
+    if (silent > std::max<std::size_t>(1, up / 5)) return;
     for (const auto* m : lost) {
         if (dead_.insert(m->name).second)
             spdlog::warn("machine {} is silent: giving it up to free its {} tasks", m->name,
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -83,7 +83,7 @@
 
     scheduler::Cluster& cluster_;
     TimePoint since_;
-    TimePoint measuredAt_{};
+    TimePoint measuredAt_{}, sweptAt_{};
     std::map<std::string, ClassDemand> classes_;
     Target target_;
     bool warm_ = false;  // some class that may use spot machines should start soon
--- a/src/fleet/fleet_test.cpp
+++ b/src/fleet/fleet_test.cpp
@@ -135,6 +135,41 @@
     EXPECT_EQ(run(3, false), (std::set<std::string>{"n-1", "n-2", "n-3"})) << "well within a lease";
 }
 
+TEST_F(FleetTest, OnceAFewDoNotAnswerTheOthersAreAskedBeforeTheirReportsAreLate) {
+    // 59 machines died at once; each was found when its own report was late, up to 14 s after.
+    settings.lease = 45s;
+    settings.reportEvery = 10s;
+    std::vector<Worker> all;
+    for (int i = 0; i < 40; ++i) all.emplace_back("n-" + std::to_string(i));
+    const auto report = [&](std::size_t i) {
+        all[i].execute(cluster.beat(all[i].next(), clock.now()));
+        all[i].report.token = cluster.token();
+    };
+    for (std::size_t i = 0; i < all.size(); ++i) report(i);
+    submit("run-1", 80);
+    cluster.place(clock.now());
+    std::size_t second = 0;
+    std::map<std::string, std::size_t> removed;
+    const std::size_t death = 30;
+    for (; second < 60; ++second) {
+        clock.advance(1s);
+        for (std::size_t i = 0; i < all.size(); ++i)  // every tenth second each; six die
+            if (second % 10 == i % 10 && (second < death || i >= 6)) report(i);
+        fleet.listed({}, clock.now());
+        const auto plan = fleet.plan(clock.now());
+        for (const auto m : plan.ask)
+            if (cluster.machines()[m].name.size() == 3 && cluster.machines()[m].name[2] < '6' &&
+                second >= death)
+                cluster.unanswered(m);
+            else
+                report(m);
+        for (const auto& name : plan.remove) removed.try_emplace(name, second - death);
+        fleet.removed(plan.remove, clock.now());
+    }
+    ASSERT_EQ(removed.size(), 6U);
+    for (const auto& [name, after] : removed) EXPECT_LE(after, 12U) << name;
+}
+
 TEST_F(FleetTest, RentsAllThatIsLackingAtOnceAndFromAllZonesAlike) {
     // Four machines a request and 24 on their way: a fleet of hundreds grew by one a second.
     fleet.listed({}, clock.now());
