An order without an answer is the first sign of a dead machine

Cause: after a wave of deaths the first question goes out when the first report is late. An order that is not answered is a sign before that. Change: it counts as one question in vain.

--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -134,7 +134,11 @@
         }
         cluster_.directEnded(machine, reached.stray || (o.sent && !answered));
         kick();
-        if (!answered) co_return;
+        if (!answered) {
+            // The first sign that a machine is dead, often seconds before its report is late.
+            cluster_.unanswered(machine);
+            co_return;
+        }
     }
 }
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -22,7 +22,7 @@
 constexpr Duration reportDelay = 1500ms;
 constexpr std::uint32_t askedInVain = 2;
 constexpr std::size_t fewDying = 3, sweepMost = 300;
-constexpr Duration sweepAge = 2500ms;  // a machine heard of since then is hardly dead
+constexpr Duration sweepAge = 2500ms;   // a machine heard of since then is hardly dead
 constexpr Duration lendingDelay = 60s;  // of borrowers' time: machines boot, and orders travel
 constexpr Duration foundNoRoom = 10s;
 constexpr Duration patientSpan = 600s;  // for borrowing work that no objective hurries any more
