--- /dev/null
+++ b/src/fleet/demand.cpp
@@ -0,0 +1,149 @@
+#include <algorithm>
+#include <cmath>
+
+#include "fleet/fleet.h"
+
+// How many cores the fleet should have: from the objectives, the work there is, and what is lent.
+
+namespace basaltchute::fleet {
+
+using namespace std::chrono_literals;
+
+namespace {
+constexpr Duration rise = 6s, fall = 40s;  // of the target for classes whose starts may wait
+constexpr double warmMargin = 4;           // of a warm class's peak: jobs come in bursts
+constexpr double runMargin = 2.0;          // owners' estimates of run times are rough
+constexpr Duration lendingDelay = 60s;     // of borrowers' time: machines boot, and orders travel
+constexpr Duration foundNoRoom = 10s;
+constexpr Duration patientSpan = 600s;  // for borrowing work that no objective hurries any more
+}  // namespace
+
+void Fleet::measure(TimePoint now) {
+    for (auto& [name, c] : classes_) c.now = 0;
+    for (const Job* job : cluster_.openJobs()) {
+        // What fails wherever it goes asks for no machines.
+        if (job->suspect) continue;
+        ClassDemand& c = classes_[job->spec.jobClass];
+        c.borrows = cluster_.borrows(*job);
+        c.spotAllowed = job->spec.spotAllowed;
+        c.each = job->spec.demand;
+        const double each = job->spec.demand.cores;
+        c.now += each * (job->spec.tasks - job->doneCount);
+        c.largestJob = std::max(c.largestJob, each * job->spec.tasks);
+    }
+    // Up fast and down slowly: the work has to be run anyway, and a machine that comes late
+    // costs as much as one that came in time; one sent away too soon has to boot again.
+    const auto weight = [&](Duration constant) {
+        if (measuredAt_ == TimePoint{}) return 1.0;
+        return 1 - std::exp(-toSeconds(now - measuredAt_) / toSeconds(constant));
+    };
+    const double up = weight(rise), down = weight(fall);
+    measuredAt_ = now;
+    target_ = {};
+    warm_ = false;
+    for (auto& [name, c] : classes_) {
+        c.warm = std::any_of(cluster_.settings().objectives.begin(),
+                             cluster_.settings().objectives.end(),
+                             [&](const auto& o) { return o.jobClass == name && o.kind == "wait"; });
+        if (c.borrows) continue;
+        c.smooth += (c.now - c.smooth) * (c.now > c.smooth ? up : down);
+        c.peak = std::max(c.peak, c.now);
+        warm_ = warm_ || (c.warm && c.spotAllowed);
+        double want = c.smooth;
+        if (c.warm && c.spotAllowed)
+            want = cluster_.openJobs().empty() ? 0 : c.peak * warmMargin + c.largestJob;
+        // Services: what runs, and room for a few more at once.
+        if (c.warm && !c.spotAllowed) want = c.now * 1.1 + 4 * c.largestJob;
+        (c.spotAllowed ? target_.spot : target_.ordinary) += want;
+    }
+    // What such work uses of ordinary machines it keeps until it has run, as far as there are no
+    // spot machines for it; idle room for replicas that it fills meanwhile is no reason to rent.
+    for (const auto& m : cluster_.machines()) {
+        if (!m.up() || m.spot) continue;
+        for (const auto& c : m.charges)
+            if (c.job->spec.spotAllowed && !cluster_.borrows(*c.job))
+                target_.ordinaryUsed += c.job->spec.demand.cores;
+    }
+    target_.ordinaryUsed =
+        std::min(target_.ordinaryUsed, std::max(0.0, target_.spot - have(true).spot));
+    target_.late = lackForDeadlines(now);
+    target_.spot += lackForBorrowers(now);
+}
+
+double Fleet::lackForBorrowers(TimePoint now) const {
+    // Their work, spread over the time they have: a guest that is patient needs few cores for
+    // long, and mostly finds them idle. Counted by classes like the rest, one guest's array once
+    // had every machine of the cloud rented for it.
+    double pace = 0, hurried = 0;  // cores: without hurry, and for objectives that can still be met
+    std::set<const Job*> inHurry;
+    for (const Job* job : cluster_.openJobs()) {
+        if (!cluster_.borrows(*job) || job->suspect || !job->spec.spotAllowed) continue;
+        const double run = std::max(1.0, toSeconds(cluster_.runTime(job->spec)));
+        const auto turn = cluster_.turn(*job, now);
+        const double left = turn.hopes ? toSeconds(turn.by - now - lendingDelay) : 0;
+        const double over = turn.hopes ? run + std::max(0.0, left) : toSeconds(patientSpan);
+        const double cores = job->spec.demand.cores;
+        const double need = cores * (job->spec.tasks - job->doneCount) * run / over;
+        if (!turn.hopes) {
+            pace += need;
+            continue;
+        }
+        inHurry.insert(job);
+        // What has waited for a while finds no room, whatever seems idle: it is kept warm for
+        // others, or filled for long by work without hurry, which it may not preempt.
+        if (now - job->submittedAt > foundNoRoom)
+            hurried += cores * job->waitingCount() * run / over;
+    }
+    if (pace == 0 && inHurry.empty()) return 0;
+    Have others;  // cores in use
+    for (const auto& m : cluster_.machines())
+        for (const auto& c : m.charges) {
+            const double cores = c.job->spec.demand.cores;
+            if (!cluster_.borrows(*c.job))
+                (m.spot ? others.spot : others.ordinary) += cores;
+            else if (m.spot && inHurry.contains(c.job))
+                hurried += cores;
+        }
+    const Have there = have(false);
+    // Of idle ordinary machines much is kept warm for replicas.
+    const double idle = std::max(0.0, there.ordinary - others.ordinary) / 2 +
+                        std::max(0.0, std::min(there.spot, target_.spot) - others.spot);
+    return std::max(0.0, pace - idle) + hurried;
+}
+
+double Fleet::lackForDeadlines(TimePoint now) const {
+    // Served in the order of their latest start by what is there, whose cores come free once in a
+    // run: what would start too late needs machines of its own. Those that come too late for the
+    // shortest jobs serve the next such jobs.
+    struct Wait {
+        TimePoint by;
+        double cores;
+    };
+    std::vector<Wait> queue;
+    double running = 0, seconds = 0, open = 0;
+    for (const Job* job : cluster_.openJobs()) {
+        const JobSpec& s = job->spec;
+        if (!s.spotAllowed || job->suspect || cluster_.borrows(*job) ||
+            classes_.at(s.jobClass).warm)
+            continue;
+        running += s.demand.cores * job->boundCount;
+        const double left = s.demand.cores * (s.tasks - job->doneCount);
+        open += left;
+        seconds += left * std::max(1.0, toSeconds(cluster_.runTime(s)));
+        if (job->waitingCount() == 0 || now < job->notBefore) continue;
+        const auto turn = cluster_.turn(*job, now);
+        if (turn.hopes) queue.push_back({turn.by, s.demand.cores * job->waitingCount()});
+    }
+    if (queue.empty()) return 0;
+    std::sort(queue.begin(), queue.end(), [](const Wait& a, const Wait& b) { return a.by < b.by; });
+    const double run = runMargin * seconds / open;
+    const double rate = std::max(running, have(true).spot) / run;  // cores that come free a second
+    double lack = 0, ahead = 0;
+    for (const Wait& w : queue) {
+        ahead += w.cores;
+        lack = std::max(lack, ahead - rate * toSeconds(w.by - now));
+    }
+    return lack;
+}
+
+}  // namespace basaltchute::fleet
--- /dev/null
+++ b/src/fleet/losses.cpp
@@ -0,0 +1,108 @@
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "fleet/fleet.h"
+
+// Machines that never came up, or that do not answer any more.
+
+namespace basaltchute::fleet {
+
+using namespace std::chrono_literals;
+using workers::Machine;
+using workers::Presence;
+
+namespace {
+constexpr Duration worthDeleting = 10s;  // of a silent machine's lease still to run
+constexpr Duration reportDelay = 1500ms;
+constexpr std::uint32_t askedInVain = 2;
+constexpr std::size_t fewDying = 3, sweepMost = 300;
+constexpr Duration sweepAge = 2500ms;  // a machine heard of since then is hardly dead
+}  // namespace
+
+void Fleet::replaceStuck(TimePoint now) {
+    const auto& s = cluster_.settings();
+    for (auto it = coming_.begin(); it != coming_.end();) {
+        const auto index = cluster_.machines().find(it->first);
+        if (index && cluster_.machines()[*index].presence != Presence::expected) {
+            it = coming_.erase(it);
+            continue;
+        }
+        const auto type = cluster_.catalogue().find(std::get<0>(it->second.pool));
+        const Duration boot = type == cluster_.catalogue().end() ? 60s : type->second.boot;
+        // Some boots never end, and are charged until the machine is deleted. The list lags, so
+        // one that is up may still be listed as starting; and just after a take-over a machine
+        // that has not reported yet only has not found the new leader. Deleting those cost a
+        // whole fleet once.
+        const bool overdue = now - it->second.since > boot * 3 + s.listLag * 2;
+        const bool wouldHaveReported = now - since_ > s.lease + s.reportEvery * 2;
+        if (it->second.starting && overdue && wouldHaveReported) {
+            spdlog::warn("machine {} never came up: replacing it", it->first);
+            dead_.insert(it->first);
+            it = coming_.erase(it);
+            continue;
+        }
+        ++it;
+    }
+}
+
+void Fleet::giveUpSilent(TimePoint now, Plan& plan) {
+    const auto& s = cluster_.settings();
+    // Reports come as much as a quarter late.
+    const Duration overdue = s.reportEvery * 5 / 4 + reportDelay;
+    std::size_t up = 0, silent = 0;
+    std::vector<const Machine*> lost;
+    std::vector<std::pair<TimePoint, MachineIndex>> unheard;
+    for (MachineIndex i = 0; i < cluster_.machines().size(); ++i) {
+        const Machine& m = cluster_.machines()[i];
+        if (m.presence == Presence::gone || (!m.up() && m.charges.empty())) continue;
+        ++up;
+        // What runs on it is on record, and it has not found this leader; a machine is listed
+        // until it is gone.
+        if (!m.up() && now - since_ > s.listLag * 2 + reportDelay && !names_.contains(m.name) &&
+            !namesBefore_.contains(m.name)) {
+            dead_.insert(m.name);
+            continue;
+        }
+        const TimePoint heard = m.up() ? m.heardAt : since_;
+        // Announced to be taken, and silent since: it is.
+        if (m.recalledAt && now > *m.recalledAt + s.reportEvery &&
+            now - m.heardAt > s.reportEvery * 2) {
+            dead_.insert(m.name);
+            continue;
+        }
+        // Waiting for its lease would leave its tasks down for longer than this takes.
+        if (m.charges.empty() || m.leaseEnd - now <= worthDeleting || m.address.empty()) continue;
+        const bool late = now - heard > overdue;
+        if (!late && m.unanswered == 0) {
+            if (now - heard > sweepAge) unheard.emplace_back(heard, i);
+            continue;
+        }
+        ++silent;
+        // One that is not even late is asked once more: it may only have hung for a moment.
+        if (m.unanswered < askedInVain + (late ? 0 : 1))
+            plan.ask.push_back(i);
+        else
+            lost.push_back(&m);
+    }
+    // Machines die together, and reports are seconds apart: once a few do not answer, the others
+    // are asked before their reports are late, those heard of longest ago first.
+    std::size_t dying = 0;
+    for (const auto& m : cluster_.machines()) dying += m.up() && m.unanswered > 0 ? 1 : 0;
+    if (dying >= fewDying && now - sweptAt_ >= s.reportEvery / 2) {
+        sweptAt_ = now;
+        std::sort(unheard.begin(), unheard.end());
+        if (unheard.size() > sweepMost) unheard.resize(sweepMost);
+        for (const auto& [heard, i] : unheard) plan.ask.push_back(i);
+    }
+    // Many at once is a cut of this node's own network, or its own starvation; the machines are
+    // well and deleting them would be the damage.
+    if (silent > std::max<std::size_t>(1, up / 5)) return;
+    for (const auto* m : lost) {
+        if (dead_.insert(m->name).second)
+            spdlog::warn("machine {} is silent: giving it up to free its {} tasks", m->name,
+                         m->charges.size());
+    }
+}
+
+}  // namespace basaltchute::fleet
--- a/src/scheduler/cluster_test.cpp
+++ b/src/scheduler/cluster_test.cpp
@@ -48,6 +48,17 @@
         return *cluster->find(spec.id);
     }
     void place() { cluster->place(clock.now()); }
+    /// There is room for one of two jobs, and it goes to run-2, which came later.
+    void laterGoesFirst(const JobSpec& first, Duration apart) {
+        submit(first);
+        clock.advance(apart);
+        submit(testing::spec("run-2", 2));
+        Worker w("n-1");
+        exchange(w);
+        place();
+        EXPECT_EQ(cluster->find("run-2")->boundCount, 2U);
+        EXPECT_EQ(cluster->find(first.id)->boundCount, 0U);
+    }
     /// Submits, places and launches on `w` so that every task runs there.
     Job& running(Worker& w, const JobSpec& spec) {
         exchange(w);
@@ -537,14 +548,7 @@
     settings.objectives = {{"finished", "c", 400s, 0.9}};
     JobSpec idle = testing::spec("run-1", 2);
     idle.jobClass = "other";
-    submit(idle);
-    clock.advance(300s);
-    submit(testing::spec("run-2", 2));
-    Worker w("n-1");
-    exchange(w);
-    place();
-    EXPECT_EQ(cluster->find("run-2")->boundCount, 2U);
-    EXPECT_EQ(cluster->find("run-1")->boundCount, 0U);
+    laterGoesFirst(idle, 300s);
     clock.advance(700s);  // but its turn comes
     submit(testing::spec("run-3", 2));
     Worker other("n-2");
@@ -555,15 +559,7 @@
 
 TEST_F(ClusterTest, WhatCanStillMeetItsObjectiveGoesBeforeWhatMissedIt) {
     settings.objectives = {{"wait", "c", 15s, 0.8}};
-    JobSpec late = testing::spec("run-1", 2);
-    submit(late);
-    clock.advance(20s);
-    submit(testing::spec("run-2", 2));
-    Worker w("n-1");
-    exchange(w);
-    place();
-    EXPECT_EQ(cluster->find("run-2")->boundCount, 2U);
-    EXPECT_EQ(cluster->find("run-1")->boundCount, 0U);
+    laterGoesFirst(testing::spec("run-1", 2), 20s);
 }
 
 TEST_F(ClusterTest, WhenNotAllCanBeInTimeTheLargestJobIsPutBack) {
--- /dev/null
+++ b/src/scheduler/preemption.cpp
@@ -0,0 +1,117 @@
+#include <algorithm>
+#include <limits>
+
+#include "scheduler/cluster.h"
+
+// Room for work of higher rank, and what is stopped for it.
+
+namespace basaltchute::scheduler {
+
+using workers::Charge;
+using workers::Machine;
+
+namespace {
+constexpr std::size_t victimsLookedAt = 24;  // machines compared before work is stopped on one
+constexpr std::uint32_t stoppedAtOnce = 32;  // tasks for which a job has work stopped in a pass
+}  // namespace
+
+Demand Cluster::roomOnceStopped(const Machine& m) const {
+    Demand room = freeOn(m);
+    for (const auto& c : m.charges)
+        if (mustStop(c)) room += c.job->spec.demand;
+    return room;
+}
+
+bool Cluster::makeRoom(const Job& job, MachineIndex machine,
+                       const std::function<bool(const Charge&)>& victim) {
+    Machine& m = machines_[machine];
+    if (fits(job.spec.demand, freeOn(m))) return true;
+    Demand room = roomOnceStopped(m);
+    std::vector<std::pair<Job*, std::uint32_t>> chosen;
+    for (const auto& c : m.charges) {
+        if (fits(job.spec.demand, room)) break;
+        if (mustStop(c) || !victim(c)) continue;
+        room += c.job->spec.demand;
+        chosen.emplace_back(c.job, c.task);
+    }
+    if (!fits(job.spec.demand, room)) return false;
+    for (const auto& [victim, task] : chosen) stop(*victim, task);
+    return false;
+}
+
+bool Cluster::mayPreempt(Priority rank, const Charge& c) const {
+    return !mustStop(c) && c.cells.empty() && c.job->spec.priority > rank;
+}
+
+void Cluster::preemptFor(const Job& job, std::uint32_t tasks, TimePoint now) {
+    const JobSpec& s = job.spec;
+    if (s.priority == Priority::low) return;
+    const auto rank = static_cast<std::size_t>(s.priority);
+    Planned planned;  // room that is being made already
+    for (const auto& [machine, for_] : promises_) {
+        if (for_ != &job) continue;
+        ++planned[machine].tasks;
+        if (--tasks == 0) return;
+    }
+    for (tasks = std::min(tasks, stoppedAtOnce); tasks > 0; --tasks) {
+        // Choose the machine on which stopping the least recent work makes room.
+        MachineIndex best = noMachine;
+        std::vector<std::size_t> victims;
+        double bestLoss = std::numeric_limits<double>::infinity();
+        const auto weigh = [&](MachineIndex i) {
+            ++looks_;
+            const Machine& m = machines_[i];
+            Demand room = roomOnceStopped(m);
+            const auto [from, to] = promises_.equal_range(i);
+            for (auto p = from; p != to; ++p)
+                if (p->second != &job) room -= p->second->spec.demand;
+            if (const auto own = planned.find(i); own != planned.end())
+                for (std::uint32_t n = 0; n < own->second.tasks; ++n) room -= s.demand;
+            std::vector<std::pair<double, std::size_t>> candidates;
+            for (std::size_t k = 0; k < m.charges.size(); ++k) {
+                const Charge& c = m.charges[k];
+                if (!mayPreempt(s.priority, c)) continue;
+                const JobTask& t = c.job->tasks[c.task];
+                const double ran = t.phase == Phase::running ? toSeconds(now - t.runningSince) : 0;
+                const double lost = c.job->spec.checkpointS > 0 ? c.job->spec.saveS : ran;
+                candidates.emplace_back(lost, k);
+            }
+            std::sort(candidates.begin(), candidates.end());
+            std::vector<std::size_t> chosen;
+            Demand taken = s.demand;
+            double loss = startDelay(s, m);
+            for (const auto& [lost, k] : candidates) {
+                if (fits(s.demand, room)) break;
+                room += m.charges[k].job->spec.demand;
+                taken -= m.charges[k].job->spec.demand;
+                loss += lost + 1;
+                chosen.push_back(k);
+            }
+            if (!fits(s.demand, room) || loss >= bestLoss) return;
+            // Room that must stay warm for others would not be taken: nobody is stopped for it.
+            if (!room_.staysWarm(i, taken, s.priority)) return;
+            bestLoss = loss;
+            best = i;
+            victims = std::move(chosen);
+        };
+        for (const auto& [key, pool] : room_.pools()) {
+            const auto& [type, zone, spot, lasting, distance] = key;
+            if (!allowed(job, type, zone, spot, planned)) continue;
+            std::size_t looked = 0;
+            pool.reclaimable[rank].ascend(s.demand, [&](MachineIndex i) {
+                if (placeable(job, i, now)) weigh(i);
+                return ++looked >= victimsLookedAt;
+            });
+        }
+        if (best == noMachine) return;
+        std::vector<std::pair<Job*, std::uint32_t>> stopped;
+        for (const std::size_t k : victims)
+            stopped.emplace_back(machines_[best].charges[k].job, machines_[best].charges[k].task);
+        for (const auto& [victim, task] : stopped) stop(*victim, task);
+        promises_.emplace(best, &job);
+        ++planned[best].tasks;
+        settle();
+    }
+}
+
+}  // namespace basaltchute::scheduler
