Only a way that works is evidence against a machine

Orders without an answer counted while its own way was cut, and it asked over nodes that stood still: those accept connections, so they counted as connected. Change: a peer is connected while it speaks; a machine is given up on the word of a peer that tried, or where others in its zone have just answered; what was given up within a lease counts towards the fifth; a peer gives up a worker before the leader gives up the peer. Tried and left: nothing for a zone cut off with a part of the nodes for longer than a lease.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -15,11 +15,11 @@
 const std::string jobsPath = "/v1/jobs";
 const std::string beatPath = "/agent/beat";
 constexpr Duration pledgePatience = 500ms;
-constexpr Duration statePatience = 500ms;  // on behalf of a peer
-constexpr Duration workerPatience = 1s;    // likewise
-constexpr Duration absentAfter = 5s;       // on top of the silence that ends a connection
-constexpr Duration userPatience = 4s;      // users wait for 5 s
-constexpr Duration relayPatience = 3s;     // a worker drops what comes after 4 s
+constexpr Duration statePatience = 500ms;   // on behalf of a peer
+constexpr Duration workerPatience = 600ms;  // likewise; less than the peer waits for this node
+constexpr Duration absentAfter = 5s;        // on top of the silence that ends a connection
+constexpr Duration userPatience = 4s;       // users wait for 5 s
+constexpr Duration relayPatience = 3s;      // a worker drops what comes after 4 s
 
 http::Response plain(int status, const char* body) {
     return {status, body};
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -136,7 +136,7 @@
         kick();
         if (!answered) {
             // The first sign that a machine is dead, often seconds before its report is late.
-            cluster_.unanswered(machine);
+            if (reached.proof) cluster_.unanswered(machine);
             co_return;
         }
     }
@@ -160,9 +160,9 @@
     if (scope_.cancelled()) co_return;
     const http::Outcome& o = reached.outcome;
     // Given up only if other nodes do not reach it either.
-    if (!o.answered)
+    if (reached.proof)
         cluster_.unanswered(machine);
-    else if (o.response.status == 200 && heed(o.response.body))
+    else if (o.answered && o.response.status == 200 && heed(o.response.body))
         kick();
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -1,4 +1,5 @@
 #pragma once
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -84,6 +85,7 @@
     scheduler::Cluster& cluster_;
     TimePoint since_;
     TimePoint measuredAt_{}, sweptAt_{};
+    std::deque<TimePoint> givenUpAt_;  // within a lease
     std::map<std::string, ClassDemand> classes_;
     Target target_;
     bool warm_ = false;  // some class that may use spot machines should start soon
--- a/src/fleet/fleet_test.cpp
+++ b/src/fleet/fleet_test.cpp
@@ -133,6 +133,9 @@
     EXPECT_TRUE(run(7, false).empty()) << "seven of twenty at once: the fault is ours";
     report(0);
     EXPECT_EQ(run(3, false), (std::set<std::string>{"n-1", "n-2", "n-3"})) << "well within a lease";
+    fleet.removed({"n-1", "n-2", "n-3"}, clock.now());
+    report(3);
+    EXPECT_TRUE(run(6, false).empty()) << "three more of seventeen: a fifth at a time is too much";
 }
 
 TEST_F(FleetTest, OnceAFewDoNotAnswerTheOthersAreAskedBeforeTheirReportsAreLate) {
--- a/src/fleet/losses.cpp
+++ b/src/fleet/losses.cpp
@@ -97,11 +97,14 @@
     }
     // Many at once is a cut of this node's own network, or its own starvation; the machines are
     // well and deleting them would be the damage.
-    if (silent > std::max<std::size_t>(1, up / 5)) return;
+    // Those given up within a lease count with them, or a long cut would take a fifth at a time.
+    while (!givenUpAt_.empty() && now - givenUpAt_.front() > s.lease) givenUpAt_.pop_front();
+    if (silent + givenUpAt_.size() > std::max<std::size_t>(1, up / 5)) return;
     for (const auto* m : lost) {
-        if (dead_.insert(m->name).second)
-            spdlog::warn("machine {} is silent: giving it up to free its {} tasks", m->name,
-                         m->charges.size());
+        if (!dead_.insert(m->name).second) continue;
+        givenUpAt_.push_back(now);
+        spdlog::warn("machine {} is silent: giving it up to free its {} tasks", m->name,
+                     m->charges.size());
     }
 }
 
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -17,7 +17,8 @@
 
 constexpr std::size_t maxFrame = 1024 * 1024;
 constexpr Duration helloEvery = 500ms;
-constexpr Duration silence = 3s;  // a peer that says nothing for this long is not there
+constexpr Duration speaksWithin = 2s;  // greetings are four times as frequent
+constexpr Duration silence = 3s;       // a peer that says nothing for this long is not there
 
 capnp::Data::Reader bytes(const std::string& s) {
     return {reinterpret_cast<const kj::byte*>(s.data()), s.size()};
@@ -138,8 +139,10 @@
 }
 
 bool Mesh::connected(const std::string& node) const {
+    // A node that stands still accepts connections all the same: what counts is that it speaks.
     const auto it = links_.find(node);
-    return it != links_.end() && !it->second->broken;
+    return it != links_.end() && !it->second->broken &&
+           loop_.now() - it->second->heardAt < speaksWithin;
 }
 
 void Mesh::announce() {
@@ -195,6 +198,7 @@
             const Decoded d = decode(data, m);
             if (d == Decoded::broken) break;
             if (d == Decoded::message) {
+                link->heardAt = loop_.now();
                 if (const auto it = pending_.find(m.id); m.reply && it != pending_.end()) {
                     it->second->response = std::move(*m.reply);
                     it->second->done.notify();
@@ -330,7 +334,7 @@
     const settings::Peer* by = nullptr;
     for (const auto& p : peers_)
         if (connected(p.name) && (by == nullptr || (p.zone == zone && by->zone != zone))) by = &p;
-    if (by == nullptr) co_return http::Outcome{};
+    if (by == nullptr) co_return http::Outcome{false, false, {503, ""}};
     Message m;
     m.request = std::move(request);
     m.purpose = Purpose::worker;
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -62,7 +62,8 @@
     /// Through whichever other node reaches the state service.
     Task<http::Outcome> viaPeers(http::Request request, Duration patience, Scope& scope);
     /// Through a peer to a worker: one in that zone if there is one, since it may be cut off.
-    /// `sent` if some peer may have passed it on without an answer.
+    /// `sent` if the peer may have passed it on without an answer. The status of what is not
+    /// answered tells whether the worker was tried: 502 and 504 from a peer, 503 for want of one.
     Task<http::Outcome> toWorker(std::string zone, std::string worker, http::Request request,
                                  Duration patience, Scope& scope);
     /// Another node leads and is ready: what was passed on to a former leader is not waited for any
@@ -79,6 +80,7 @@
         std::string out;
         Event wake;
         bool broken = false;
+        TimePoint heardAt{};
     };
     struct Pending {
         explicit Pending(Loop& loop) : done(loop) {}
--- a/src/workers/reach.cpp
+++ b/src/workers/reach.cpp
@@ -57,13 +57,18 @@
         out.stray = out.outcome.sent;
         // Where others answer, the fault is the machine's; a detour would only find it out later.
         const Way& way = ways_[target.zone];
-        if (works(way) || (!insist && !cut(target.zone))) co_return out;
+        out.proof = works(way);
+        if (out.proof || (!insist && !cut(target.zone))) co_return out;
     } else if (Way& way = ways_[target.zone]; loop_.now() >= way.nextProbe) {
         way.nextProbe = loop_.now() + probeEvery;
         scope.spawn(probe(target, scope));
     }
     out.outcome = co_await detour_(target, std::move(request), patience, scope);
     out.stray = out.stray || (out.outcome.sent && !out.outcome.answered);
+    // A peer that says nothing proves nothing: a leader cut off from the workers once deleted 386
+    // sound machines, because it had asked them over a node that stood still.
+    const int status = out.outcome.response.status;
+    out.proof = !out.outcome.answered && (status == 502 || status == 503 || status == 504);
     co_return out;
 }
 
--- a/src/workers/reach.h
+++ b/src/workers/reach.h
@@ -26,6 +26,9 @@
         http::Outcome outcome;
         /// A copy left and was not answered: it may be executed yet, whatever the outcome is.
         bool stray = false;
+        /// Not reached by a way that works, or by the only one there is: the fault is the
+        /// machine's.
+        bool proof = false;
     };
     /// `insist`: over a peer too, even if only this machine is not reached, unless others in its
     /// zone have just been.
--- a/src/workers/reach_test.cpp
+++ b/src/workers/reach_test.cpp
@@ -92,6 +92,35 @@
     world.end(world.scope);
 }
 
+TEST(Reach, APeerThatSaysNothingProvesNothingAgainstAMachine) {
+    // A leader cut off from the workers asked for them over a node that stood still, and deleted
+    // 386 sound machines.
+    testing::World world;
+    http::Outcome told;  // no answer at all
+    Reach reach(world.loop, 10,
+                [&](Reach::Target, http::Request, Duration, Scope&) -> Task<http::Outcome> {
+                    co_return told;
+                });
+    const auto proof = [&](MachineIndex machine) {
+        bool done = false, out = false;
+        world.loop.spawn([](Reach& r, MachineIndex m, Scope& scope, bool& flag,
+                            bool& end) -> Task<void> {
+            http::Request request{"GET", "/inspect", ""};
+            const auto reached =
+                co_await r.request({m, "a", "127.0.0.1:1"}, std::move(request), 1s, true, scope);
+            flag = reached.proof;
+            end = true;
+        }(reach, machine, world.scope, out, done));
+        world.until([&] { return done; });
+        return out;
+    };
+    EXPECT_FALSE(proof(1));
+    EXPECT_FALSE(proof(2));
+    told.response.status = 502;
+    EXPECT_TRUE(proof(1)) << "a peer has tried";
+    world.end(world.scope);
+}
+
 TEST(Reach, ACopyThatWentUnansweredIsToldOfWhateverTheDetourBrings) {
     // The first copy of a launch may be executed minutes later: its attempt must stay known.
     testing::World world;
