--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -123,8 +123,8 @@
         if (leadership_.mayAct()) {
             http::Request request{"POST", "/commands",
                                   workers::directOrders(cluster_.token(), m.session, orders)};
-            reached =
-                co_await reach_.request(target(machine), std::move(request), 2s, false, scope_);
+            workers::Reach::Target to = target(machine);
+            reached = co_await reach_.request(std::move(to), std::move(request), 2s, false, scope_);
         }
         if (scope_.cancelled()) co_return;
         const http::Outcome& o = reached.outcome;
@@ -155,8 +155,9 @@
 
 Task<void> Reign::ask(MachineIndex machine) {
     http::Request request{"GET", "/inspect", ""};
+    workers::Reach::Target to = target(machine);
     const auto reached =
-        co_await reach_.request(target(machine), std::move(request), askPatience, true, scope_);
+        co_await reach_.request(std::move(to), std::move(request), askPatience, true, scope_);
     if (scope_.cancelled()) co_return;
     const http::Outcome& o = reached.outcome;
     // Given up only if other nodes do not reach it either.
--- a/src/workers/reach_test.cpp
+++ b/src/workers/reach_test.cpp
@@ -103,14 +103,15 @@
                 });
     const auto proof = [&](MachineIndex machine) {
         bool done = false, out = false;
-        world.loop.spawn([](Reach& r, MachineIndex m, Scope& scope, bool& flag,
-                            bool& end) -> Task<void> {
-            http::Request request{"GET", "/inspect", ""};
-            const auto reached =
-                co_await r.request({m, "a", "127.0.0.1:1"}, std::move(request), 1s, true, scope);
-            flag = reached.proof;
-            end = true;
-        }(reach, machine, world.scope, out, done));
+        world.loop.spawn(
+            [](Reach& r, MachineIndex m, Scope& scope, bool& flag, bool& end) -> Task<void> {
+                http::Request request{"GET", "/inspect", ""};
+                Reach::Target target{m, "a", "127.0.0.1:1"};
+                const auto reached =
+                    co_await r.request(std::move(target), std::move(request), 1s, true, scope);
+                flag = reached.proof;
+                end = true;
+            }(reach, machine, world.scope, out, done));
         world.until([&] { return done; });
         return out;
     };
