--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -209,8 +209,11 @@
 Task<http::Response> Controller::workerFor(http::Request r, std::string worker) {
     if (r.target != "/commands" && r.target != "/inspect") co_return plain(400, "{}");
     http::Client client(loop_, worker, 0);
+    const TimePoint since = loop_.now();
     auto o = co_await client.request(std::move(r), workerPatience, scope_);
-    if (!o.answered) co_return plain(o.sent ? 504 : 502, "{}");
+    // A node that was itself held up cannot tell whether the worker was.
+    const bool heldUp = loop_.now() - since > workerPatience + workerPatience / 4;
+    if (!o.answered) co_return plain(o.sent ? 504 : heldUp ? 500 : 502, "{}");
     co_return std::move(o.response);
 }
 
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -191,6 +191,10 @@
             }
         }
         for (const MachineIndex machine : plan.ask) scope_.spawn(ask(machine));
+        // Machines of a zone that this node is cut off from say nothing about death: once a sweep
+        // over a peer, which was too much for it, had 140 sound ones given up.
+        for (const MachineIndex machine : plan.sweep)
+            if (!reach_.cut(cluster_.machines()[machine].zone)) scope_.spawn(ask(machine));
         co_await rentAll(plan.rent);
         co_await loop_.sleep(1s, scope_);
     }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -23,7 +23,8 @@
 struct Plan {
     std::vector<Rent> rent;
     std::vector<std::string> remove;
-    std::vector<MachineIndex> ask;  // silent ones: whether they can be reached
+    std::vector<MachineIndex> ask;    // silent ones: whether they can be reached
+    std::vector<MachineIndex> sweep;  // not late yet, but others are dying
 };
 
 /// Cores that the fleet should have, by the kind of machine that may serve them.
--- a/src/fleet/losses.cpp
+++ b/src/fleet/losses.cpp
@@ -93,7 +93,7 @@
         sweptAt_ = now;
         std::sort(unheard.begin(), unheard.end());
         if (unheard.size() > sweepMost) unheard.resize(sweepMost);
-        for (const auto& [heard, i] : unheard) plan.ask.push_back(i);
+        for (const auto& [heard, i] : unheard) plan.sweep.push_back(i);
     }
     // Many at once is a cut of this node's own network, or its own starvation; the machines are
     // well and deleting them would be the damage.
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -331,15 +331,20 @@
                                    Duration patience, Scope& scope) {
     // One peer only: with a second one asked as well, the first one's copy might be executed late
     // although the answer seems to settle it.
-    const settings::Peer* by = nullptr;
-    for (const auto& p : peers_)
-        if (connected(p.name) && (by == nullptr || (p.zone == zone && by->zone != zone))) by = &p;
-    if (by == nullptr) co_return http::Outcome{false, false, {503, ""}};
+    std::vector<std::string> near, all;
+    for (const auto& p : peers_) {
+        if (!connected(p.name)) continue;
+        all.push_back(p.name);
+        if (p.zone == zone) near.push_back(p.name);
+    }
+    if (all.empty()) co_return http::Outcome{false, false, {503, ""}};
+    const auto& some = near.empty() ? all : near;
+    const std::string by = some[nextId_ % some.size()];  // by turns: it is work for them
     Message m;
     m.request = std::move(request);
     m.purpose = Purpose::worker;
     m.worker = std::move(worker);
-    auto pending = post(by->name, std::move(m));
+    auto pending = post(by, std::move(m));
     auto o = co_await await(pending, loop_.now() + patience, scope);
     if (!o.answered) co_return o;
     // 502: it did not reach the worker at all; 504: the worker may have got it.
--- a/src/workers/reach.cpp
+++ b/src/workers/reach.cpp
@@ -51,13 +51,14 @@
                                     bool insist, Scope& scope) {
     Reached out;
     if (!cut(target.zone)) {
+        const TimePoint sent = loop_.now();
         http::Request copy = request;
         out.outcome = co_await direct(target, std::move(copy), patience, scope);
         if (out.outcome.answered || scope.cancelled()) co_return out;
         out.stray = out.outcome.sent;
         // Where others answer, the fault is the machine's; a detour would only find it out later.
         const Way& way = ways_[target.zone];
-        out.proof = works(way);
+        out.proof = way.workedAt > sent;  // before that, the way may have been cut since
         if (out.proof || (!insist && !cut(target.zone))) co_return out;
     } else if (Way& way = ways_[target.zone]; loop_.now() >= way.nextProbe) {
         way.nextProbe = loop_.now() + probeEvery;
