--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -19,7 +19,8 @@
 constexpr Duration workerPatience = 600ms;  // likewise; less than the peer waits for this node
 constexpr Duration absentAfter = 5s;        // on top of the silence that ends a connection
 constexpr Duration userPatience = 4s;       // users wait for 5 s
-constexpr Duration relayPatience = 3s;      // a worker drops what comes after 4 s
+constexpr Duration borrowEvery = 500ms, borrowPatience = 1s;
+constexpr Duration relayPatience = 3s;  // a worker drops what comes after 4 s
 
 http::Response plain(int status, const char* body) {
     return {status, body};
@@ -65,21 +66,28 @@
           {[this](Token, state::Guard guard) {
                reign_ = std::make_shared<Reign>(
                    loop_, settings_, operator_, state_, leadership_, std::move(guard),
-                   Reign::Hooks{[this](workers::Reach::Target t, http::Request r, Duration patience,
-                                       Scope& scope) {
-                                    return mesh_.toWorker(std::move(t.zone), std::move(t.address),
-                                                          std::move(r), patience, scope);
-                                },
-                                [this] {
-                                    // What waits for the former leader comes here now.
-                                    mesh_.announce();
-                                    mesh_.leaderIs(settings_.node);
-                                }});
+                   Reign::Hooks{
+                       [this](workers::Reach::Target t, http::Request r, Duration patience,
+                              Scope& scope) -> Task<workers::Reach::Detoured> {
+                           auto over =
+                               co_await mesh_.toWorker(std::move(t.zone), std::move(t.address),
+                                                       std::move(r), patience, scope);
+                           co_return workers::Reach::Detoured{std::move(over.outcome), over.near};
+                       },
+                       [this] {
+                           // What waits for the former leader comes here now.
+                           mesh_.announce();
+                           mesh_.leaderIs(settings_.node);
+                       },
+                       [this](const std::string& node) { return mesh_.connected(node); },
+                       holder_.sinceUse(loop_.now())});
+               holder_.drop();
                reign_->start();
                mesh_.announce();
            },
            [this]() -> Task<void> {
                const auto reign = std::exchange(reign_, nullptr);
+               holder_.keep(leadership_.token(), reign->lentToSelf(), loop_.now());
                mesh_.announce();
                co_await reign->end();
            },
@@ -94,8 +102,11 @@
            [this] { return mesh_.silentFor(absentAfter); }}),
       mesh_(loop, settings_,
             {[this] {
-                 return mesh::Hello{settings_.node, leadership_.mayAct(), leadership_.token(),
-                                    reign_ && reign_->ready()};
+                 const auto known = leadership_.known();
+                 const bool hears = known && mesh_.connected(known->node);
+                 return mesh::Hello{settings_.node,           leadership_.mayAct(),
+                                    leadership_.token(),      reign_ && reign_->ready(),
+                                    hears ? known->token : 0, true};
              },
              [this](const mesh::Hello& hello) {
                  if (!hello.leading) {
@@ -105,6 +116,7 @@
                  idlePeers_.erase(hello.node);
                  leaderSeen_ = loop_.now();
                  leadership_.heard({hello.node, hello.token});
+                 holder_.heard(hello.token, loop_.now());
                  const auto known = leadership_.known();
                  if (hello.ready && known && known->token == hello.token)
                      mesh_.leaderIs(hello.node);
@@ -120,9 +132,19 @@
                  }
                  return lead(std::move(r));
              },
-             [this](const mesh::Pledge& p) { return leadership_.pledge(p.token, p.hold); }}),
+             [this](const mesh::Pledge& p) { return leadership_.pledge(p.token, p.hold); },
+             [this](const loans::Question& q) -> std::optional<loans::Loan> {
+                 if (!reign_) return std::nullopt;
+                 // A successor of an older version would know nothing of loans.
+                 const bool allKnow = std::all_of(
+                     settings_.peers.begin(), settings_.peers.end(), [&](const auto& p) {
+                         return !mesh_.connected(p.name) || mesh_.knowsLoans(p.name);
+                     });
+                 return reign_->lend(q, allKnow);
+             }}),
       server_(loop, settings_.listen, http::ServerLimits{settings_.servedSockets()},
               [this](http::Request r) { return handle(std::move(r)); }),
+      holder_(loans::Terms::of(settings_), settings_.zone, loop.now()),
       leaderSeen_(loop.now()) {
     if (settings_.peers.empty()) return;
     state_.setRelay([this](http::Request r, Duration patience, Scope& scope) {
@@ -134,6 +156,7 @@
     mesh_.start(scope_);
     server_.start(scope_);
     scope_.spawn(leadership_.run(scope_));
+    if (!settings_.peers.empty()) scope_.spawn(borrow());
 }
 
 Task<void> Controller::shutDown() {
@@ -263,21 +286,61 @@
     if (reign_)
         if (auto answer = leaderBeat(*reign_, *report)) co_return std::move(*answer);
     const auto known = leadership_.known();
-    if (!known || known->node == settings_.node) co_return noLeader();
-    if (mesh_.connected(known->node)) {
+    if (known && known->node != settings_.node && mesh_.connected(known->node)) {
         // Passed on instead of sent away: the worker may not be able to reach the leader.
         auto response = co_await passOn(std::move(r), relayPatience);
-        co_return response ? std::move(*response) : noLeader();
+        if (response) co_return std::move(*response);
+        auto lent = inItsName(*report);
+        co_return lent ? std::move(*lent) : noLeader();
     }
     // Cut off from the leader, perhaps together with the worker: another node may reach both.
-    std::string to = known->node;
-    for (const auto& p : settings_.peers)
-        if (p.name != known->node && mesh_.connected(p.name)) to = p.name;
+    std::string to = known ? mesh_.whoHears(known->token) : "";
+    if (to.empty()) {
+        if (auto lent = inItsName(*report)) co_return std::move(*lent);
+        if (!known || known->node == settings_.node) co_return noLeader();
+        to = known->node;
+    }
+    if (to == known->node)
+        for (const auto& p : settings_.peers)
+            if (p.name != known->node && mesh_.connected(p.name)) to = p.name;
     json::Out o;
     o.open().field("steward", to).close();
     co_return http::Response{421, o.text()};
 }
 
+Task<void> Controller::borrow() {
+    while (!scope_.cancelled()) {
+        const auto known = leadership_.known();
+        if (!reign_ && known && known->node != settings_.node && mesh_.knowsLoans(known->node) &&
+            mesh_.connected(known->node)) {
+            const TimePoint askedAt = loop_.now();
+            auto question = holder_.question(settings_.node, askedAt);
+            const auto loan =
+                co_await mesh_.borrow(known->node, std::move(question), borrowPatience, scope_);
+            // This node may lead by now.
+            if (loan && !reign_) {
+                if (!holder_.take(*loan, askedAt, loop_.now()))
+                    spdlog::error("a loan of {} s by {} is longer than any may be: not taken",
+                                  toSeconds(loan->span), known->node);
+                if (std::exchange(lentOut_, false))
+                    spdlog::info("the leader is heard again: no more answers in its name");
+            }
+        }
+        co_await loop_.sleep(borrowEvery, scope_);
+    }
+}
+
+std::optional<http::Response> Controller::inItsName(const workers::Report& report) {
+    if (reign_) return std::nullopt;
+    const auto known = leadership_.known();
+    if (!holder_.answer(report.token, report.zone, known ? known->token : 0, loop_.now()))
+        return std::nullopt;
+    if (!std::exchange(lentOut_, true))
+        spdlog::warn("the leader is silent: answering the workers of {} in its name, token {}",
+                     settings_.zone, holder_.token());
+    return http::Response{200, workers::beatAnswer(holder_.token(), {})};
+}
+
 http::Response Controller::up() {
     const auto known = leadership_.known();
     const bool reachable = leadership_.mayAct() || (known && mesh_.connected(known->node));
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -28,6 +28,10 @@
     /// Nothing if this node must not act, or finds out by the report that it must not.
     std::optional<http::Response> leaderBeat(Reign& reign, const workers::Report& report);
     Task<http::Response> beat(http::Request request);
+    /// Asks whoever leads for the right to answer for it, as long as it is heard.
+    Task<void> borrow();
+    /// An answer in the name of a leader that is silent; nothing if this node may not.
+    std::optional<http::Response> inItsName(const workers::Report& report);
     http::Response up();
     http::Response status();
 
@@ -40,6 +44,8 @@
     mesh::Mesh mesh_;
     http::Server server_;
     std::shared_ptr<Reign> reign_;
+    loans::Holder holder_;
+    bool lentOut_ = false;             // answering by a loan, as last logged
     std::set<std::string> idlePeers_;  // said since this node started that they do not lead
     TimePoint leaderSeen_;
 };
--- a/src/app/controller_test.cpp
+++ b/src/app/controller_test.cpp
@@ -178,6 +178,39 @@
     EXPECT_NE(ask(0, "POST", "/v1/jobs", testing::submission("run-1")).response.status, 503);
 }
 
+TEST_F(ControllerTest, AWorkerIsAnsweredInASilentLeadersNameUntilTheLoanEnds) {
+    // A zone cut off for longer than a lease lost all its tasks: nobody there could answer.
+    start(2);
+    const auto beat = [](unsigned tick, unsigned token) {
+        return R"({"host":"n-1","addr":"127.0.0.1:1","rigKind":"box","hall":"a","loaners":false,"stint":1,"tick":)" +
+               std::to_string(tick) + R"(,"baton":)" + std::to_string(token) +
+               R"(,"recallS":null,"splits":[]})";
+    };
+    ASSERT_EQ(ask(0, "POST", "/agent/beat", beat(1, 0)).response.status, 200);
+    const bool firstLeads = state.keys.at("lead/holder").data.find("rig-0") != std::string::npos;
+    const std::size_t leader = firstLeads ? 0 : 1, holder = firstLeads ? 1 : 0;
+    const auto terms = loans::Terms::of(nodes[holder]->settings);
+    state.down = true;  // so that nobody takes over
+    bool left = false;
+    world.scope.spawn(stop(*nodes[leader]->controller, left));
+    world.until([&] { return left; });
+    unsigned tick = 1;
+    EXPECT_NE(ask(holder, "POST", "/agent/beat", beat(++tick, 1)).response.status, 200);
+    world.run(terms.quiet + 500ms);
+    const auto lent = ask(holder, "POST", "/agent/beat", beat(++tick, 1));
+    EXPECT_EQ(lent.response.status, 200);
+    EXPECT_EQ(lent.response.body, R"({"baton":1,"orders":[]})");
+    EXPECT_NE(ask(holder, "POST", "/agent/beat", beat(++tick, 2)).response.status, 200)
+        << "that worker would drop it";
+    world.run(terms.longest - terms.quiet - 3s);
+    EXPECT_EQ(ask(holder, "POST", "/agent/beat", beat(++tick, 1)).response.status, 200);
+    world.run(4s);
+    EXPECT_NE(ask(holder, "POST", "/agent/beat", beat(++tick, 1)).response.status, 200);
+    EXPECT_NE(ask(holder, "POST", "/v1/jobs", testing::submission("run-1")).response.status, 201)
+        << "a loan answers workers only";
+    nodes.erase(nodes.begin() + static_cast<std::ptrdiff_t>(leader));
+}
+
 TEST_F(ControllerTest, ANodeThatPledgedDoesNotCampaignUntilItsWordHasEnded) {
     start(1);
     state::Client client(world.loop, nodes[0]->settings);
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -15,8 +15,16 @@
 constexpr Duration askPatience = 900ms;
 constexpr Duration tick = 250ms;
 constexpr Duration gather = 10ms;
+const std::string experienceKey = "fleet/experience";
+constexpr Duration experienceEvery = 60s;
 constexpr std::size_t slice = 64;  // tasks placed before others get their turn
 
+std::vector<loans::Lender::Node> othersOf(const settings::Settings& s) {
+    std::vector<loans::Lender::Node> out;
+    for (const auto& p : s.peers) out.push_back({p.name, p.zone});
+    return out;
+}
+
 http::Response refuse(int status, const std::string& why) {
     json::Out o;
     o.open().field("error", why).close();
@@ -35,8 +43,11 @@
       written_(loop),
       kicked_(loop),
       rented_(loop),
+      lender_(loans::Terms::of(settings), leadership.token(), {settings.node, settings.zone},
+              hooks.sinceUse, othersOf(settings), loop.now()),
       cluster_(settings, leadership.token()),
-      writer_(loop, state, settings.txnOps, std::move(guard),
+      guard_(std::move(guard)),
+      writer_(loop, state, settings.txnOps, guard_,
               {[this](const std::string& key) { return cluster_.encode(key); },
                [this](const std::string& key, std::uint64_t version) {
                    cluster_.committed(key, version);
@@ -48,8 +59,11 @@
       cloud_(loop, settings, [this] { return leadership_.mayAct(); }),
       fleet_(cluster_, loop.now()),
       reach_(loop, settings.directSockets(), std::move(hooks.detour)),
-      onLoaded_(std::move(hooks.loaded)) {
+      onLoaded_(std::move(hooks.loaded)),
+      speaks_(std::move(hooks.speaks)) {
     cluster_.setOperator(operatorSettings);
+    lender_.setLending(operatorSettings.zoneLoans);
+    cluster_.setLender(lender_);
 }
 
 void Reign::start() {
@@ -75,6 +89,8 @@
         scope_.spawn(writer_.run(scope_));
         scope_.spawn(schedule());
         scope_.spawn(manageFleet());
+        scope_.spawn(recallExperience());
+        scope_.spawn(keepExperience());
         co_return;
     }
 }
@@ -101,6 +117,7 @@
             continue;
         }
         cluster_.expire(loop_.now());
+        lentToSelf_ = lender_.answersEndOf(settings_.node);
         // Beats, touches and users go on between slices of a long pass; a short pause lets one
         // pass serve many beats.
         if (cluster_.worthPlacing() && cluster_.place(loop_.now(), slice)) dirty_ = true;
@@ -111,7 +128,7 @@
 
 workers::Reach::Target Reign::target(MachineIndex machine) const {
     const workers::Machine& m = cluster_.machines()[machine];
-    return {machine, m.zone, m.address};
+    return {machine, m.zone.empty() ? m.listedZone : m.zone, m.address};
 }
 
 Task<void> Reign::direct(MachineIndex machine) {
@@ -181,6 +198,7 @@
             if (all) fleet_.listed(*all, loop_.now());
             listAt = loop_.now() + 2s;
         }
+        findAway();
         const fleet::Plan plan = fleet_.plan(loop_.now());
         if (!plan.remove.empty() && leadership_.mayAct()) {
             const bool gone = co_await cloud_.remove(plan.remove, scope_);
@@ -200,6 +218,39 @@
     }
 }
 
+void Reign::findAway() {
+    for (const auto& zone : settings_.zones) {
+        const bool nodesSilent =
+            std::none_of(settings_.peers.begin(), settings_.peers.end(),
+                         [&](const auto& p) { return p.zone == zone && speaks_(p.name); });
+        const bool away = zone != settings_.zone && nodesSilent && reach_.cut(zone);
+        if (away == cluster_.away(zone)) continue;
+        spdlog::info("zone {} is {}", zone,
+                     away ? "away: its work stays, no more goes there" : "back");
+        cluster_.setAway(zone, away);
+    }
+}
+
+Task<void> Reign::recallExperience() {
+    const auto found = co_await state_.get(experienceKey, scope_);
+    if (!found.item) co_return;
+    if (!fleet_.experience().decode(found.item->data))
+        spdlog::error("record {} is malformed and was skipped", experienceKey);
+}
+
+Task<void> Reign::keepExperience() {
+    while (!scope_.cancelled()) {
+        const Wake woke = co_await loop_.sleep(experienceEvery, scope_);
+        if (woke == Wake::cancelled) co_return;
+        if (!fleet_.experience().changed() || !leadership_.mayAct()) continue;
+        // Not worth a retry: the next one holds more. A late one of a former leader is refused.
+        state::Transaction txn;
+        txn.guards = {guard_};
+        txn.puts = {{experienceKey, fleet_.experience().encode(), std::nullopt}};
+        co_await state_.commit(std::move(txn), scope_);
+    }
+}
+
 Task<void> Reign::rentAll(std::vector<fleet::Rent> wanted) {
     for (auto& rent : wanted) scope_.spawn(rentOne(std::move(rent)));
     while (renting_ > 0 && !scope_.cancelled())
@@ -274,10 +325,13 @@
 
 Task<http::Response> Reign::query(JobId id) {
     if (!ready()) co_return later();
-    const Job* job = cluster_.find(id);
+    Job* job = cluster_.find(id);
     if (job == nullptr) co_return refuse(404, "no such job");
     if (!job->accepted()) co_return later();
-    if (job->cancelDurable()) co_return http::Response{200, jobs::statusText(*job, "cancelled")};
+    if (job->cancelDurable()) {
+        cluster_.told(*job, loop_.now());
+        co_return http::Response{200, jobs::statusText(*job, "cancelled")};
+    }
     if (!job->cancelled && job->doneDurable())
         co_return http::Response{200, jobs::statusText(*job, "done")};
     co_return http::Response{200,
@@ -288,15 +342,35 @@
     if (!ready()) co_return later();
     Job* job = cluster_.find(id);
     if (job == nullptr) co_return refuse(404, "no such job");
-    cluster_.cancel(*job);
+    cluster_.cancel(*job, loop_.now());
+    lentToSelf_ = lender_.answersEndOf(settings_.node);
     flush();
     const bool told = co_await stands([job] {
         return job->accepted() && (job->cancelled ? job->cancelDurable() : job->doneDurable());
     });
-    if (!told) co_return later();
+    if (!told) {
+        // On record, and carried out as far as its machines can be reached. Where a zone that is
+        // cut off still runs tasks of it, its user is told when those must be gone.
+        http::Response wait = later();
+        const auto seconds =
+            std::chrono::ceil<std::chrono::seconds>(cluster_.tellableIn(*job, loop_.now()));
+        wait.retryAfterS = std::clamp(static_cast<int>(seconds.count()), wait.retryAfterS, 30);
+        co_return wait;
+    }
+    if (job->cancelled) cluster_.told(*job, loop_.now());
     co_return http::Response{200, jobs::statusText(id, job->cancelled ? "cancelled" : "done")};
 }
 
+std::optional<loans::Loan> Reign::lend(const loans::Question& question, bool lends) {
+    if (!ready()) return std::nullopt;
+    const TimePoint now = loop_.now();
+    const TimePoint cap =
+        lends ? cluster_.loanCap(lender_.zoneOf(question.node), now) : TimePoint{};
+    const auto loan = lender_.asked(question, cap, now);
+    kick();  // a withdrawal or a silent machine may have waited for what it says
+    return loan;
+}
+
 http::Response Reign::beat(const workers::Report& report) {
     std::vector<workers::Order> orders;
     if (loaded_) {
--- a/src/app/reign.h
+++ b/src/app/reign.h
@@ -16,7 +16,9 @@
   public:
     struct Hooks {
         workers::Reach::Detour detour;
-        std::function<void()> loaded;  // from now on requests can be answered
+        std::function<void()> loaded;                    // from now on requests can be answered
+        std::function<bool(const std::string&)> speaks;  // whether that node does
+        Duration sinceUse{};                             // of a loan that this node held
     };
     Reign(Loop& loop, const settings::Settings& settings,
           const settings::Operator& operatorSettings, state::Client& state, Leadership& leadership,
@@ -30,6 +32,11 @@
     Task<http::Response> query(JobId id);
     Task<http::Response> withdraw(JobId id);
     http::Response beat(const workers::Report& report);
+    /// The right to answer for this leader while it is silent; nothing as long as the records are
+    /// not loaded. `lends`: every node understands what that means.
+    std::optional<loans::Loan> lend(const loans::Question& question, bool lends);
+    /// What this node lent to itself: how late it may answer its zone's workers without the right.
+    [[nodiscard]] TimePoint lentToSelf() const { return lentToSelf_; }
     [[nodiscard]] const scheduler::Cluster& cluster() const { return cluster_; }
     [[nodiscard]] std::size_t backlog() const { return writer_.backlog(); }
     [[nodiscard]] http::Response later() const;
@@ -44,6 +51,11 @@
     /// Asks a silent machine for a report: dead ones are told from late ones within seconds.
     Task<void> ask(MachineIndex machine);
     Task<void> manageFleet();
+    /// Zones whose machines and controllers are silent alike.
+    void findAway();
+    /// What was learnt goes on record now and then, for the next leader.
+    Task<void> keepExperience();
+    Task<void> recallExperience();
     /// Rents all at once, within the cloud's rate: one call after the other is too slow for a
     /// wave of machines taken away.
     Task<void> rentAll(std::vector<fleet::Rent> wanted);
@@ -60,13 +72,17 @@
     Leadership& leadership_;
     Scope scope_;
     Event written_, kicked_, rented_;
+    loans::Lender lender_;
     scheduler::Cluster cluster_;
+    state::Guard guard_;
     state::Writer writer_;
     fleet::Cloud cloud_;
     fleet::Fleet fleet_;
     workers::Reach reach_;
     std::size_t renting_ = 0;
     std::function<void()> onLoaded_;
+    std::function<bool(const std::string&)> speaks_;
+    TimePoint lentToSelf_{};
     bool loaded_ = false, dirty_ = false;
 };
 
--- a/src/experience/spread.h
+++ b/src/experience/spread.h
@@ -26,9 +26,9 @@
     bool decode(const json::Value& value);
 
   private:
-    using Axis =
-        boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
-    using Histogram = boost::histogram::histogram<std::tuple<Axis>, boost::histogram::dense_storage<double>>;
+    using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+    using Histogram =
+        boost::histogram::histogram<std::tuple<Axis>, boost::histogram::dense_storage<double>>;
     Histogram prior_, observed_;
     double seen_ = 0;
 };
--- a/src/fleet/demand.cpp
+++ b/src/fleet/demand.cpp
@@ -15,7 +15,8 @@
 constexpr double runMargin = 2.0;          // owners' estimates of run times are rough
 constexpr Duration lendingDelay = 60s;     // of borrowers' time: machines boot, and orders travel
 constexpr Duration foundNoRoom = 10s;
-constexpr Duration noticeAndOrder = 4s;  // plans are made each second; the cloud answers, then beats
+constexpr Duration noticeAndOrder =
+    4s;                                 // plans are made each second; the cloud answers, then beats
 constexpr Duration patientSpan = 600s;  // for borrowing work that no objective hurries any more
 }  // namespace
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -24,7 +24,7 @@
     for (const auto& l : all) {
         const auto index = cluster_.machines().find(l.name);
         names_.insert(l.name);
-        if (index) cluster_.setAddress(*index, l.address);
+        if (index) cluster_.setAddress(*index, l.address, l.zone);
         if (index && cluster_.machines()[*index].presence == Presence::gone) continue;
         if (l.status == "failed") {
             dead_.insert(l.name);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -97,7 +97,7 @@
     experience::Experience experience_;
     TimePoint since_;
     TimePoint measuredAt_{}, sweptAt_{};
-    std::deque<TimePoint> givenUpAt_;  // within a lease
+    std::deque<std::pair<TimePoint, std::string>> givenUpAt_;  // within a lease, with the zone
     std::map<std::string, ClassDemand> classes_;
     Target target_;
     bool warm_ = false;  // some class that may use spot machines should start soon
--- a/src/fleet/losses.cpp
+++ b/src/fleet/losses.cpp
@@ -16,7 +16,10 @@
 constexpr Duration worthDeleting = 10s;  // of a silent machine's lease still to run
 constexpr Duration reportDelay = 1500ms;
 constexpr std::uint32_t askedInVain = 2;
-constexpr std::size_t fewDying = 3, sweepMost = 300;
+constexpr std::size_t fewDying = 3, sweepMost = 300, fewAsked = 5;
+struct ZoneCount {
+    std::size_t up = 0, silent = 0;
+};
 constexpr Duration sweepAge = 2500ms;  // a machine heard of since then is hardly dead
 }  // namespace
 
@@ -54,13 +57,15 @@
     const auto& s = cluster_.settings();
     // Reports come as much as a quarter late.
     const Duration overdue = s.reportEvery * 5 / 4 + reportDelay;
-    std::size_t up = 0, silent = 0;
+    std::map<std::string, ZoneCount> zones;
+    std::size_t askedAway = 0;
     std::vector<const Machine*> lost;
     std::vector<std::pair<TimePoint, MachineIndex>> unheard;
     for (MachineIndex i = 0; i < cluster_.machines().size(); ++i) {
         const Machine& m = cluster_.machines()[i];
         if (m.presence == Presence::gone || (!m.up() && m.charges.empty())) continue;
-        ++up;
+        ZoneCount& zone = zones[m.up() ? m.zone : m.listedZone];
+        ++zone.up;
         // What runs on it is on record, and it has not found this leader; a machine is listed
         // until it is gone.
         if (!m.up() && now - since_ > s.listLag * 2 + reportDelay && !names_.contains(m.name) &&
@@ -76,13 +81,21 @@
             continue;
         }
         // Waiting for its lease would leave its tasks down for longer than this takes.
-        if (m.charges.empty() || m.leaseEnd - now <= worthDeleting || m.address.empty()) continue;
+        if (m.charges.empty() || m.address.empty() ||
+            cluster_.possiblyUntil(m, now) - now <= worthDeleting)
+            continue;
         const bool late = now - heard > overdue;
         if (!late && m.unanswered == 0) {
             if (now - heard > sweepAge) unheard.emplace_back(heard, i);
             continue;
         }
-        ++silent;
+        // A zone that is away with its controllers explains the silence of its machines. A few
+        // are asked, to see when it is back; it is no reason to keep the dead of other zones.
+        if (cluster_.away(m.zone)) {
+            if (++askedAway <= fewAsked) plan.ask.push_back(i);
+            continue;
+        }
+        ++zone.silent;
         // One that is not even late is asked once more: it may only have hung for a moment.
         if (m.unanswered < askedInVain + (late ? 0 : 1))
             plan.ask.push_back(i);
@@ -99,14 +112,16 @@
         if (unheard.size() > sweepMost) unheard.resize(sweepMost);
         for (const auto& [heard, i] : unheard) plan.sweep.push_back(i);
     }
-    // Many at once is a cut of this node's own network, or its own starvation; the machines are
-    // well and deleting them would be the damage.
-    // Those given up within a lease count with them, or a long cut would take a fifth at a time.
-    while (!givenUpAt_.empty() && now - givenUpAt_.front() > s.lease) givenUpAt_.pop_front();
-    if (silent + givenUpAt_.size() > std::max<std::size_t>(1, up / 5)) return;
+    // Most of a zone at once is rather a cut or this node's own starvation, whatever the evidence;
+    // the machines are well and deleting them would be the damage. Those given up within a lease
+    // count with them, or a long cut would take a part at a time.
+    while (!givenUpAt_.empty() && now - givenUpAt_.front().first > s.lease) givenUpAt_.pop_front();
+    for (const auto& [at, zone] : givenUpAt_) ++zones[zone].silent;
     for (const auto* m : lost) {
+        const std::string& zone = m->up() ? m->zone : m->listedZone;
+        if (zones[zone].silent > std::max<std::size_t>(1, zones[zone].up / 2)) continue;
         if (!dead_.insert(m->name).second) continue;
-        givenUpAt_.push_back(now);
+        givenUpAt_.emplace_back(now, zone);
         spdlog::warn("machine {} is silent: giving it up to free its {} tasks", m->name,
                      m->charges.size());
     }
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -183,7 +183,7 @@
         writeSpec(o, job.spec);
         o.field("at", static_cast<std::int64_t>(job.submitted.count()));
         o.field("per", job.tasksPerRecord);
-        if (job.cancelled) o.field("cancelled", true);
+        if (job.cancelled) o.field(job.cancelFinal ? "cancelled" : "withdrawing", true);
     }
     const auto from = static_cast<std::uint32_t>(record * job.tasksPerRecord);
     const auto to = std::min(from + job.tasksPerRecord, job.spec.tasks);
@@ -230,8 +230,12 @@
         made->tasksPerRecord = static_cast<std::uint32_t>(*per);
         made->records.assign((made->spec.tasks + *per - 1) / *per, Job::Record{0, 0});
         made->submitted = WallMillis(static_cast<std::int64_t>(*at));
-        made->cancelled = json::boolean(*doc, "cancelled").value_or(false);
-        made->cancelVersion = made->cancelled ? 1 : 0;
+        made->cancelFinal = json::boolean(*doc, "cancelled").value_or(false);
+        made->cancelNoted = json::boolean(*doc, "withdrawing").value_or(false);
+        made->cancelled = made->cancelFinal || made->cancelNoted;
+        made->cancelVersion = made->cancelFinal ? 1 : 0;
+        // A former leader may have told it at any time.
+        if (made->cancelFinal) made->toldAt = TimePoint{};
         job = add(std::move(made));
     } else {
         job = find(rest.substr(0, slash));
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -72,8 +72,15 @@
     JobSpec spec;
     WallMillis submitted{};
     TimePoint submittedAt{};
+    /// Its user has asked to withdraw it: no task starts any more, and all are stopped.
     bool cancelled = false;
-    std::uint64_t cancelVersion = 0;
+    /// And may be told so: whatever may still run ends in time. Until then the record says that it
+    /// is being withdrawn, and polls are answered as before.
+    bool cancelFinal = false;
+    std::uint64_t cancelVersion = 0;  // of the first record, when it became final
+    TimePoint cancelAskedAt{};
+    bool cancelNoted = false;         // on record as being withdrawn
+    std::optional<TimePoint> toldAt;  // when a user was first told; the past if unknown
     std::vector<JobTask> tasks;
     std::uint32_t doneCount = 0, boundCount = 0, runningCount = 0;
     /// Tasks to be placed, the next one last. What was adopted or done meanwhile is skipped when
@@ -101,7 +108,7 @@
     [[nodiscard]] std::size_t recordOf(std::uint32_t task) const { return task / tasksPerRecord; }
     [[nodiscard]] bool accepted() const { return records[0].durable > 0; }
     [[nodiscard]] bool cancelDurable() const {
-        return cancelled && records[0].durable >= cancelVersion;
+        return cancelFinal && records[0].durable >= cancelVersion;
     }
     [[nodiscard]] std::uint32_t waitingCount() const { return spec.tasks - doneCount - boundCount; }
     /// The next task to be placed; there must be one.
--- /dev/null
+++ b/src/loans/holder.cpp
@@ -0,0 +1,48 @@
+#include "loans/holder.h"
+
+namespace basaltchute::loans {
+
+bool Holder::take(const Loan& loan, TimePoint askedAt, TimePoint now) {
+    if (loan.span > terms_.longest || loan.span < Duration::zero()) return false;
+    // An answer that overtook a newer one, or came from a leader that is none any more.
+    if (loan.token < token_ || (loan.token == token_ && loan.number <= number_)) return true;
+    token_ = loan.token;
+    number_ = loan.number;
+    used_ = 0;
+    // From when the question left, not from when the answer came: the leader reckons from later.
+    until_ = askedAt + loan.span - Terms::drift(loan.span);
+    heardAt_ = now;
+    return true;
+}
+
+void Holder::keep(Token token, TimePoint until, TimePoint rightEndedAt) {
+    if (token < token_) return;
+    token_ = token;
+    number_ = 0;
+    used_ = 0;
+    until_ = until;
+    heardAt_ = rightEndedAt;
+}
+
+void Holder::heard(Token token, TimePoint now) {
+    if (token == token_) heardAt_ = now;
+    if (token > token_) drop();
+}
+
+bool Holder::answer(Token seen, const std::string& zone, Token newest, TimePoint now) {
+    if (newest > token_) drop();
+    // A worker that has seen another token is one that the lender never heard, so that it does not
+    // know what runs there; or one that would drop the answer and go without its lease.
+    if (zone != zone_ || seen != token_ || now >= until_ || now < heardAt_ + terms_.quiet)
+        return false;
+    lastUse_ = now;
+    ++used_;
+    return true;
+}
+
+Question Holder::question(const std::string& node, TimePoint now) const {
+    return {node, token_, number_,
+            std::chrono::duration_cast<std::chrono::milliseconds>(now - lastUse_)};
+}
+
+}  // namespace basaltchute::loans
--- /dev/null
+++ b/src/loans/holder.h
@@ -0,0 +1,62 @@
+#pragma once
+#include <cstdint>
+#include <string>
+
+#include "leadership/leadership.h"
+#include "loans/terms.h"
+
+namespace basaltchute::loans {
+
+/// A holder's question for a loan: what it holds, and when it last made use of one.
+struct Question {
+    std::string node;
+    Token token = 0;           // of the last loan that it took, and
+    std::uint64_t number = 0;  // that loan's number; 0: none
+    std::chrono::milliseconds sinceUse{};
+};
+/// A leader's answer. It replaces what the asker holds, also by nothing at all.
+struct Loan {
+    Token token = 0;
+    std::uint64_t number = 0;          // rises with each answer of a leader
+    std::chrono::milliseconds span{};  // from when the question was sent; 0: nothing is lent
+};
+
+/// The borrower's side: the right to answer the reports of its zone's workers in the leader's
+/// name, without orders, while that leader is silent. It is kept in memory only, so that a node
+/// that has just started holds none.
+class Holder {
+  public:
+    /// `startedAt` counts as a use: what the node's former process answered is not known.
+    Holder(Terms terms, std::string zone, TimePoint startedAt)
+        : terms_(terms), zone_(std::move(zone)), lastUse_(startedAt) {}
+
+    /// False if the loan is longer than any leader may lend: then it is not taken.
+    bool take(const Loan& loan, TimePoint askedAt, TimePoint now);
+    /// What a leader lent to itself, once its right has ended: until then it answered by that.
+    void keep(Token token, TimePoint until, TimePoint rightEndedAt);
+    /// A leader says something: this one's loan is not needed, an older one's is over.
+    void heard(Token token, TimePoint now);
+    /// This node leads.
+    void drop() { until_ = TimePoint{}; }
+    /// Whether a report from that zone, of a worker that has seen `seen`, may be answered with
+    /// token(). To be asked right before the answer is made: it is then a use.
+    /// `newest`: the highest token that this node knows of.
+    bool answer(Token seen, const std::string& zone, Token newest, TimePoint now);
+
+    [[nodiscard]] Token token() const { return token_; }
+    [[nodiscard]] bool holds(TimePoint now) const { return now < until_; }
+    [[nodiscard]] Question question(const std::string& node, TimePoint now) const;
+    [[nodiscard]] Duration sinceUse(TimePoint now) const { return now - lastUse_; }
+    /// Answers under the present loan so far; for the log.
+    [[nodiscard]] std::uint64_t used() const { return used_; }
+
+  private:
+    Terms terms_;
+    std::string zone_;
+    Token token_ = 0;
+    std::uint64_t number_ = 0, used_ = 0;
+    TimePoint until_{}, heardAt_{};
+    TimePoint lastUse_;
+};
+
+}  // namespace basaltchute::loans
--- /dev/null
+++ b/src/loans/lender.cpp
@@ -0,0 +1,70 @@
+#include "loans/lender.h"
+
+namespace basaltchute::loans {
+
+Lender::Lender(Terms terms, Token token, const Node& self, Duration sinceUse,
+               const std::vector<Node>& others, TimePoint electedAt)
+    : terms_(terms), token_(token), self_(self.name) {
+    const TimePoint assumed = electedAt + terms.longest;
+    for (const auto& n : others) holders_[n.name] = {n.zone, assumed, assumed, {}, {}, {}};
+    // It leads, so it holds none of a former leader's; what it answered before still counts.
+    holders_[self.name] = {self.zone, electedAt, {}, TimePoint::max(), electedAt - sinceUse, {}};
+}
+
+std::string Lender::zoneOf(const std::string& node) const {
+    const auto it = holders_.find(node);
+    return it == holders_.end() ? "" : it->second.zone;
+}
+
+Loan Lender::asked(const Question& q, TimePoint cap, TimePoint now) {
+    const auto it = holders_.find(q.node);
+    if (it == holders_.end() || q.node == self_) return {token_, 0, {}};
+    Held& h = it->second;
+    // However late the question arrives, the use was at least so long before.
+    const Duration since = std::max<Duration>(q.sinceUse, Duration::zero());
+    h.usedUntil = std::max(h.usedUntil, now - since + Terms::drift(since) + Terms::margin);
+    if (q.token == token_ && q.number != 0) {
+        while (!h.given.empty() && h.given.front().number < q.number) h.given.pop_front();
+        if (!h.given.empty() && h.given.front().number == q.number) {
+            // It has this loan, so none of before; and it had not used it when it took it.
+            const Duration quiet = terms_.quiet - Terms::drift(terms_.quiet);
+            h.clearUntil = std::max(h.clearUntil, h.given.front().at + quiet);
+            h.until = h.formerUntil = TimePoint{};
+            for (const auto& g : h.given) h.until = std::max(h.until, g.until);
+        }
+    }
+    const TimePoint until = lends_ ? std::max(now, std::min(cap, now + terms_.longest)) : now;
+    const auto span = std::chrono::duration_cast<std::chrono::milliseconds>(until - now);
+    h.given.push_back({++numbers_, now, until});
+    h.until = std::max(h.until, until);
+    return {token_, numbers_, span};
+}
+
+TimePoint Lender::lendSelf(TimePoint cap, TimePoint now) {
+    Held& h = holders_.at(self_);
+    h.until = lends_ ? std::max(now, std::min(cap, now + terms_.longest)) : now;
+    return h.until;
+}
+
+TimePoint Lender::leasesEnd(const std::string& zone, TimePoint now) const {
+    TimePoint end{};
+    for (const auto& [name, h] : holders_) {
+        if (!zone.empty() && h.zone != zone) continue;
+        end = std::max(end, h.usedUntil + terms_.surely());
+        // What is told of a holder is as old as its question; it keeps silent for a while after.
+        const TimePoint until = zone.empty() ? h.formerUntil : h.until;
+        if (now >= h.clearUntil) end = std::max(end, until + terms_.surely());
+    }
+    return end;
+}
+
+TimePoint Lender::answersEnd(const std::string& zone) const {
+    TimePoint end{};
+    for (const auto& [name, h] : holders_) {
+        if (zone.empty()) end = std::max(end, h.formerUntil);
+        if (h.zone == zone) end = std::max(end, h.until);
+    }
+    return end;
+}
+
+}  // namespace basaltchute::loans
--- /dev/null
+++ b/src/loans/loans_test.cpp
@@ -0,0 +1,330 @@
+#include <gtest/gtest.h>
+#include <spdlog/spdlog.h>
+
+#include "testing/world.h"
+
+// Every transition of a loan, then a search through what can happen around one.
+
+namespace basaltchute::loans {
+namespace {
+
+using namespace std::chrono_literals;
+using scheduler::Cluster;
+using testing::Worker;
+using workers::Verb;
+
+class LoansTest : public ::testing::Test {
+  protected:
+    FakeClock clock;
+    Terms terms{60s, 30s, 56s, 4s};
+    Holder holder{terms, "b", clock.now() - 1h};
+    Lender lender{terms, 7, {"rig-0", "a"}, 1h, {{"rig-1", "b"}}, clock.now()};
+    TimePoint cap = TimePoint::max();
+
+    void renew() {
+        const TimePoint asked = clock.now();
+        const Question q = holder.question("rig-1", asked);
+        EXPECT_TRUE(holder.take(lender.asked(q, cap, clock.now()), asked, clock.now()));
+    }
+    void talk(Duration span) {
+        for (Duration d{}; d < span; d += 500ms) {
+            renew();
+            clock.advance(500ms);
+        }
+    }
+    bool answers(Token seen = 7, const std::string& zone = "b", Token newest = 7) {
+        return holder.answer(seen, zone, newest, clock.now());
+    }
+};
+
+TEST_F(LoansTest, IsUsedOnlyWhileTheLeaderIsSilentAndOnlyForItsOwnZone) {
+    EXPECT_FALSE(answers()) << "nothing was lent yet";
+    talk(5s);
+    EXPECT_FALSE(answers()) << "the leader speaks";
+    clock.advance(3s);
+    EXPECT_FALSE(answers()) << "an election takes as long";
+    clock.advance(1s);
+    EXPECT_TRUE(answers());
+    EXPECT_FALSE(answers(7, "a"));
+    EXPECT_FALSE(answers(6)) << "the lender never heard that worker";
+    EXPECT_FALSE(answers(8)) << "that worker would drop the answer";
+    holder.heard(7, clock.now());
+    EXPECT_FALSE(answers()) << "the lender is back";
+}
+
+TEST_F(LoansTest, RunsOutByTheHoldersClockHoweverLongItStoodStill) {
+    talk(5s);
+    clock.advance(59s);
+    EXPECT_TRUE(answers());
+    clock.advance(1h);  // it stood still, and the next thing it does is to answer
+    EXPECT_FALSE(answers());
+}
+
+TEST_F(LoansTest, IsOverOnceANewerLeaderIsKnownAndReplacedByItsLoan) {
+    talk(5s);
+    clock.advance(5s);
+    ASSERT_TRUE(answers());
+    EXPECT_FALSE(answers(7, "b", 8)) << "known by the state service";
+    EXPECT_FALSE(holder.holds(clock.now()));
+    talk(5s);  // a late answer of the former leader lends nothing again
+    Lender next{terms, 8, {"rig-2", "a"}, 1h, {{"rig-1", "b"}}, clock.now()};
+    ASSERT_TRUE(holder.take(next.asked(holder.question("rig-1", clock.now()), cap, clock.now()),
+                            clock.now(), clock.now()));
+    renew();
+    EXPECT_EQ(holder.token(), 8U);
+}
+
+TEST_F(LoansTest, ALoanLongerThanAnyMayBeIsNotTaken) {
+    EXPECT_FALSE(holder.take({7, 1, 61s}, clock.now(), clock.now()));
+    EXPECT_FALSE(holder.holds(clock.now()));
+    EXPECT_TRUE(holder.take({7, 2, 0ms}, clock.now(), clock.now()));
+    EXPECT_FALSE(holder.holds(clock.now()));
+}
+
+TEST_F(LoansTest, AHolderThatSaysItHasNotUsedItKeepsNoDeadMachineWaiting) {
+    talk(70s);
+    EXPECT_LE(lender.leasesEnd("b", clock.now()), clock.now());
+    EXPECT_EQ(lender.leasesEnd("a", clock.now()), lender.leasesEnd("a", clock.now() + 1h));
+    // Silent for as long as it keeps still itself: nothing can have been answered yet.
+    EXPECT_LE(lender.leasesEnd("b", clock.now() + 2s), clock.now());
+    // Longer: it may have been answering, up to the loan's end and a lease after that.
+    const TimePoint last = clock.now() - 500ms;
+    clock.advance(10s);
+    EXPECT_GE(lender.leasesEnd("b", clock.now()), last + 60s + 30s);
+    EXPECT_LE(lender.leasesEnd("b", clock.now()), last + 60s + 32s);
+}
+
+TEST_F(LoansTest, AHolderThatUsedItSaysSoWhenItIsBack) {
+    talk(70s);
+    clock.advance(10s);
+    ASSERT_TRUE(answers());
+    const TimePoint used = clock.now();
+    clock.advance(5s);
+    talk(2s);
+    EXPECT_GE(lender.leasesEnd("b", clock.now()), used + 30s);
+    EXPECT_LE(lender.leasesEnd("b", clock.now()), used + 32s);
+}
+
+TEST_F(LoansTest, AQuestionThatWasHeldBackProvesNothing) {
+    talk(70s);
+    const TimePoint left = clock.now();
+    const Question held = holder.question("rig-1", left);
+    clock.advance(10s);
+    ASSERT_TRUE(answers());
+    clock.advance(40s);
+    lender.asked(held, cap, clock.now());  // delivered when the cut ends
+    EXPECT_GE(lender.leasesEnd("b", clock.now()), left + 10s + 30s) << "it says nothing of later";
+}
+
+TEST_F(LoansTest, AShorterLoanCountsOnceItIsConfirmed) {
+    talk(5s);
+    cap = clock.now() + 10s;
+    renew();
+    EXPECT_GT(lender.answersEnd("b"), clock.now() + 50s) << "the answer may be lost";
+    clock.advance(500ms);
+    renew();
+    EXPECT_LE(lender.answersEnd("b"), cap);
+    clock.advance(10s);
+    EXPECT_FALSE(answers());
+}
+
+TEST_F(LoansTest, ARestartedHolderHoldsNoneAndItsFormerProcessMayHaveAnswered) {
+    talk(70s);
+    clock.advance(6s);
+    holder = Holder{terms, "b", clock.now()};
+    clock.advance(4s);
+    EXPECT_FALSE(answers());
+    talk(2s);
+    EXPECT_GE(lender.leasesEnd("b", clock.now()), clock.now() - 6s + 30s);
+    EXPECT_LE(lender.leasesEnd("b", clock.now()), clock.now() - 6s + 32s);
+}
+
+TEST_F(LoansTest, ASuccessorAssumesTheLongestLoanOfWhomItHasNotHeard) {
+    talk(70s);
+    clock.advance(3s);
+    const TimePoint elected = clock.now();
+    Lender next{terms, 8, {"rig-2", "a"}, 1h, {{"rig-0", "a"}, {"rig-1", "b"}}, elected};
+    for (const char* zone : {"a", "b", ""}) {
+        EXPECT_GE(next.leasesEnd(zone, elected), elected + 60s + 30s) << zone;
+        EXPECT_GE(next.answersEnd(zone), elected + 60s) << zone;
+    }
+    // The holder of the former one's says that it has not used it, and gives it back by taking
+    // this.
+    for (int i = 0; i < 2; ++i) {
+        const Question q = holder.question("rig-1", clock.now());
+        holder.take(next.asked(q, TimePoint{}, clock.now()), clock.now(), clock.now());
+    }
+    EXPECT_LE(next.leasesEnd("b", clock.now()), clock.now());
+    EXPECT_LE(next.answersEnd("b"), clock.now());
+    EXPECT_GE(next.answersEnd("a"), elected + 60s) << "the former leader lent to itself";
+}
+
+TEST_F(LoansTest, AFormerLeaderAnswersByWhatItLentToItself) {
+    cap = clock.now() + 20s;
+    const TimePoint until = lender.lendSelf(cap, clock.now());
+    Holder self{terms, "a", clock.now() - 1h};
+    self.keep(7, until, clock.now());
+    EXPECT_FALSE(self.answer(7, "a", 7, clock.now() + 3s)) << "another may lead by now";
+    EXPECT_TRUE(self.answer(7, "a", 0, clock.now() + 4s)) << "it knows of no leader at all";
+    EXPECT_FALSE(self.answer(7, "a", 7, clock.now() + 20s));
+    self.keep(7, until + 40s, clock.now());
+    EXPECT_FALSE(self.answer(7, "a", 8, clock.now() + 30s));
+}
+
+/// One machine in a zone that is cut off, one outside, a leader outside, and perhaps its successor.
+struct Story {
+    int cutFor = 0;                  // seconds, from the fifth on
+    int cancelAt = -1;               // -1: never
+    int takeOverAt = -1;             // the leader dies; its successor leads from then on
+    int pauseAt = -1, pauseFor = 0;  // the holder stands still
+    int restartAt = -1;              // the holder
+    bool answerLost = false;         // the leader's last answer before the cut
+    bool heeded = true;              // whether leaders reckon with loans
+
+    [[nodiscard]] std::string text() const {
+        std::string out;
+        for (const int i : {cutFor, cancelAt, takeOverAt, pauseAt, pauseFor, restartAt})
+            out += std::to_string(i) + " ";
+        return out + (answerLost ? "lost" : "");
+    }
+};
+
+class Play {
+  public:
+    explicit Play(const Story& story) : story_(story) {
+        settings_.lease = 4s;
+        settings_.reportEvery = 1s;
+        settings_.cancelWithin = 11s;
+        terms_ = Terms{8s, 4s, 11s, 2s};
+        lead(1);
+    }
+    /// What went wrong, or nothing.
+    std::string run();
+
+  private:
+    static constexpr int cutAt = 5, seconds = 34;
+    void lead(Token token) {
+        auto next = std::make_unique<Cluster>(settings_, token);
+        next->setCatalogue(testing::someCatalogue());
+        for (const auto& [key, data] : records_) next->load(key, data, clock_.now(), clock_.wall());
+        lender_ = std::make_unique<Lender>(terms_, token, Lender::Node{"rig-0", "a"}, 1h,
+                                           std::vector<Lender::Node>{{"rig-1", "b"}}, clock_.now());
+        if (story_.heeded) next->setLender(*lender_);
+        next->loaded(clock_.now());
+        cluster_ = std::move(next);
+        leaderToken_ = token;
+    }
+    void beat(Worker& w, TimePoint& renewed, bool reached) {
+        if (!reached) return;
+        w.execute(cluster_->beat(w.next(), clock_.now()));
+        w.report.token = leaderToken_;
+        renewed = clock_.now();
+    }
+    void borrow(bool answered) {
+        const Question q = holder_.question("rig-1", clock_.now());
+        const Loan loan = lender_->asked(q, cluster_->loanCap("b", clock_.now()), clock_.now());
+        if (answered) holder_.take(loan, clock_.now(), clock_.now());
+    }
+    static bool runs(const Worker& w) {
+        return std::any_of(w.report.tasks.begin(), w.report.tasks.end(),
+                           [](const auto& t) { return t.status != workers::TaskStatus::exited; });
+    }
+    Story story_;
+    FakeClock clock_;
+    settings::Settings settings_ = testing::someSettings();
+    Terms terms_;
+    std::map<std::string, std::string> records_;
+    std::unique_ptr<Cluster> cluster_;
+    std::unique_ptr<Lender> lender_;
+    Token leaderToken_ = 0;
+    Holder holder_{Terms{8s, 4s, 11s, 2s}, "b", clock_.now() - 1h};
+};
+
+std::string Play::run() {
+    Worker inside("n-1", "b"), outside("n-2", "a");
+    TimePoint renewedInside = clock_.now(), renewedOutside = clock_.now();
+    std::optional<TimePoint> told;
+    for (int s = 0; s < seconds; ++s) {
+        const bool cut = s >= cutAt && s < cutAt + story_.cutFor;
+        const bool paused = s >= story_.pauseAt && s < story_.pauseAt + story_.pauseFor;
+        if (s == 1) {
+            JobSpec spec = testing::spec("run-1", 1);
+            spec.shape = Shape::service;
+            spec.zone = story_.cancelAt < 0 ? std::nullopt : std::optional<std::string>("b");
+            cluster_->submit(spec, clock_.now(), clock_.wall());
+        }
+        if (s == story_.takeOverAt) lead(2);
+        if (s == story_.restartAt) holder_ = Holder{terms_, "b", clock_.now()};
+        if (!paused && (!cut || (s == cutAt && story_.answerLost))) borrow(!cut);
+        // The worker first: it sends its report, and then perhaps kills what it runs.
+        beat(inside, renewedInside, !cut);
+        if (cut && !paused && holder_.answer(inside.report.token, "b", 0, clock_.now()))
+            renewedInside = clock_.now();
+        beat(outside, renewedOutside, s > 2);  // so that the job goes to the zone
+        if (clock_.now() - renewedInside > settings_.lease) {
+            inside.newSession();
+            renewedInside = clock_.now();
+        }
+        if (story_.cancelAt >= 0 && s >= story_.cancelAt && !told)  // its user asks until told
+            if (Job* job = cluster_->find("run-1")) cluster_->cancel(*job, clock_.now());
+        cluster_->expire(clock_.now());
+        cluster_->place(clock_.now());
+        testing::commitAll(*cluster_, records_);
+        Job* job = cluster_->find("run-1");
+        if (job != nullptr && job->cancelDurable()) {
+            cluster_->told(*job, clock_.now());
+            if (!told) told = clock_.now();
+        }
+        if (runs(inside) && runs(outside)) return "ran twice";
+        if (told && runs(inside) && clock_.now() - *told > settings_.cancelWithin)
+            return "ran though cancelled";
+        clock_.advance(1s);
+    }
+    if (story_.cancelAt >= 0 && !told) return "never told";
+    return "";
+}
+
+std::vector<Story> stories(bool heeded) {
+    std::vector<Story> out;
+    for (const int cutFor : {0, 2, 4, 6, 9, 13, 18})
+        for (const int cancelAt : {-1, 3, 4, 5, 6, 8, 10, 13, 16, 20})
+            for (const int takeOverAt : {-1, 3, 5, 6, 8, 11, 15})
+                for (const auto& [pauseAt, pauseFor] :
+                     std::vector<std::pair<int, int>>{{-1, 0}, {5, 3}, {6, 8}, {8, 4}, {8, 12}})
+                    for (const int restartAt : {-1, 5, 9})
+                        for (const bool lost : {false, true})
+                            out.push_back({cutFor, cancelAt, takeOverAt, pauseAt, pauseFor,
+                                           restartAt, lost, heeded});
+    return out;
+}
+
+/// The log of some thousand plays helps nobody.
+struct Quiet {
+    spdlog::level::level_enum before = spdlog::get_level();
+    Quiet() { spdlog::set_level(spdlog::level::off); }
+    Quiet(const Quiet&) = delete;
+    Quiet& operator=(const Quiet&) = delete;
+    ~Quiet() { spdlog::set_level(before); }
+};
+
+TEST(LoansSearch, NothingRunsTwiceOrOutlivesItsCancellationWhateverHappensAroundALoan) {
+    const Quiet quiet;
+    std::size_t played = 0;
+    for (const Story& story : stories(true)) {
+        const std::string wrong = Play(story).run();
+        ASSERT_EQ(wrong, "") << story.text();
+        ++played;
+    }
+    EXPECT_EQ(played, 14'700U);
+}
+
+TEST(LoansSearch, FindsBothFaultsOfALeaderThatForgetsWhatItLent) {
+    const Quiet quiet;
+    std::set<std::string> found;
+    for (const Story& story : stories(false)) found.insert(Play(story).run());
+    EXPECT_TRUE(found.contains("ran twice"));
+    EXPECT_TRUE(found.contains("ran though cancelled"));
+}
+
+}  // namespace
+}  // namespace basaltchute::loans
--- a/src/mesh/mesh.capnp
+++ b/src/mesh/mesh.capnp
@@ -9,6 +9,8 @@
     request @1 :Request;
     reply @2 :Reply;
     pledge @3 :Pledge;
+    borrow @4 :Borrow;
+    loan @5 :Loan;
   }
 }
 
@@ -18,6 +20,8 @@
   leading @1 :Bool;
   token @2 :UInt64;
   ready @3 :Bool;  # has loaded all records, too, so that requests can be answered
+  hears @4 :UInt64;  # token of the leader that this node hears; 0: none
+  loans @5 :Bool;    # knows Borrow and Loan; a node of an older version would end the link
 }
 
 # Asks the receiver not to campaign for a while: no node reaches the state service, and the
@@ -28,6 +32,24 @@
   holdMs @2 :UInt32;
 }
 
+# Asks the leader for the right to answer the reports of its zone's workers, without orders, should
+# the leader fall silent. Says what the asker holds and when it last made use of one.
+struct Borrow {
+  id @0 :UInt64;
+  node @1 :Text;
+  token @2 :UInt64;   # of the last loan that it took
+  number @3 :UInt64;  # of that loan; 0: none
+  sinceUseMs @4 :UInt64;
+}
+
+# Answers a Borrow, and replaces what the asker holds; a span of 0 lends nothing.
+struct Loan {
+  id @0 :UInt64;
+  token @1 :UInt64;
+  number @2 :UInt64;
+  spanMs @3 :UInt32;  # from when the Borrow was sent
+}
+
 # A user's or worker's request passed on to the leader, or a request to the state service or to a
 # worker from a node that cannot reach it itself.
 struct Request {
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -4,6 +4,7 @@
 #include <capnp/serialize.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <cstring>
 #include <vector>
 
@@ -41,6 +42,8 @@
         h.setLeading(m.hello->leading);
         h.setToken(m.hello->token);
         h.setReady(m.hello->ready);
+        h.setHears(m.hello->hears);
+        h.setLoans(m.hello->loans);
     } else if (m.request) {
         auto r = frame.initRequest();
         r.setId(m.id);
@@ -56,6 +59,19 @@
         p.setId(m.id);
         p.setToken(m.pledge->token);
         p.setHoldMs(static_cast<std::uint32_t>(m.pledge->hold.count()));
+    } else if (m.borrow) {
+        auto b = frame.initBorrow();
+        b.setId(m.id);
+        b.setNode(m.borrow->node.c_str());
+        b.setToken(m.borrow->token);
+        b.setNumber(m.borrow->number);
+        b.setSinceUseMs(static_cast<std::uint64_t>(m.borrow->sinceUse.count()));
+    } else if (m.loan) {
+        auto l = frame.initLoan();
+        l.setId(m.id);
+        l.setToken(m.loan->token);
+        l.setNumber(m.loan->number);
+        l.setSpanMs(static_cast<std::uint32_t>(m.loan->span.count()));
     } else if (m.reply) {
         auto r = frame.initReply();
         r.setId(m.id);
@@ -88,7 +104,8 @@
         const auto frame = reader.getRoot<wire::Frame>();
         if (frame.isHello()) {
             const auto h = frame.getHello();
-            into.hello = Hello{text(h.getNode()), h.getLeading(), h.getToken(), h.getReady()};
+            into.hello = Hello{text(h.getNode()), h.getLeading(), h.getToken(),
+                               h.getReady(),      h.getHears(),   h.getLoans()};
         } else if (frame.isRequest()) {
             const auto r = frame.getRequest();
             into.id = r.getId();
@@ -104,6 +121,19 @@
             const auto p = frame.getPledge();
             into.id = p.getId();
             into.pledge = Pledge{p.getToken(), std::chrono::milliseconds(p.getHoldMs())};
+        } else if (frame.isBorrow()) {
+            const auto b = frame.getBorrow();
+            // A use that was longer ago than any lease lasts says no more than that.
+            constexpr std::uint64_t longAgo = 24 * 3600 * 1000;
+            into.id = b.getId();
+            into.borrow = loans::Question{
+                text(b.getNode()), b.getToken(), b.getNumber(),
+                std::chrono::milliseconds(std::min<std::uint64_t>(b.getSinceUseMs(), longAgo))};
+        } else if (frame.isLoan()) {
+            const auto l = frame.getLoan();
+            into.id = l.getId();
+            into.loan =
+                loans::Loan{l.getToken(), l.getNumber(), std::chrono::milliseconds(l.getSpanMs())};
         } else if (frame.isReply()) {
             const auto r = frame.getReply();
             into.id = r.getId();
@@ -202,8 +232,14 @@
                 if (const auto it = pending_.find(m.id); m.reply && it != pending_.end()) {
                     it->second->response = std::move(*m.reply);
                     it->second->done.notify();
+                } else if (m.loan && it != pending_.end()) {
+                    it->second->loan = *m.loan;
+                    it->second->done.notify();
+                }
+                if (m.hello) {
+                    link->hello = *m.hello;
+                    hooks_.heard(*m.hello);
                 }
-                if (m.hello) hooks_.heard(*m.hello);
                 continue;
             }
             // The other side greets back, so silence means that it cannot be reached.
@@ -215,7 +251,7 @@
         if (links_[peer.name] == link) links_.erase(peer.name);
         lastThere_[peer.name] = loop_.now();
         for (auto& [id, p] : pending_) {
-            if (p->node != peer.name || p->response) continue;
+            if (p->node != peer.name || p->answered()) continue;
             p->lost = true;
             p->done.notify();
         }
@@ -242,7 +278,7 @@
         if (d == Decoded::broken) break;
         if (d == Decoded::message) {
             if (m.hello) hooks_.heard(*m.hello);
-            if (m.request || m.pledge) scope.spawn(answer(link, std::move(m)));
+            if (m.request || m.pledge || m.borrow) scope.spawn(answer(link, std::move(m)));
             continue;
         }
         const long n = co_await link->socket->read(data, loop_.now() + silence, scope);
@@ -255,7 +291,11 @@
 Task<void> Mesh::answer(std::shared_ptr<Link> link, Message asked) {
     Message m;
     m.id = asked.id;
-    if (asked.pledge) {
+    if (asked.borrow) {
+        m.loan = hooks_.lend(*asked.borrow);
+        if (!m.loan) co_return;
+        m.loan->span = std::max(m.loan->span, std::chrono::milliseconds(0));
+    } else if (asked.pledge) {
         m.reply = http::Response{hooks_.pledge(*asked.pledge) ? 200 : 409, ""};
     } else {
         http::Response response = co_await hooks_.serve(asked.purpose, std::move(*asked.request),
@@ -281,7 +321,7 @@
     http::Outcome out;
     if (!pending) co_return out;
     out.sent = true;
-    while (!pending->response && !pending->lost && loop_.now() < until && !scope.cancelled())
+    while (!pending->answered() && !pending->lost && loop_.now() < until && !scope.cancelled())
         co_await loop_.wait(pending->done, until, scope);
     pending_.erase(pending->id);
     if (pending->response) {
@@ -319,16 +359,37 @@
     co_return all;
 }
 
+Task<std::optional<loans::Loan>> Mesh::borrow(std::string node, loans::Question question,
+                                              Duration patience, Scope& scope) {
+    Message m;
+    m.borrow = std::move(question);
+    auto pending = post(node, std::move(m));
+    if (!pending) co_return std::nullopt;
+    co_await await(pending, loop_.now() + patience, scope);
+    co_return pending->loan;
+}
+
+std::string Mesh::whoHears(Token token) const {
+    for (const auto& [node, link] : links_)
+        if (connected(node) && link->hello && link->hello->hears == token) return node;
+    return "";
+}
+
+bool Mesh::knowsLoans(const std::string& node) const {
+    const auto it = links_.find(node);
+    return it != links_.end() && it->second->hello && it->second->hello->loans;
+}
+
 void Mesh::leaderIs(const std::string& node) {
     for (auto& [id, p] : pending_) {
-        if (!p->forLeader || p->node == node || p->response) continue;
+        if (!p->forLeader || p->node == node || p->answered()) continue;
         p->lost = true;
         p->done.notify();
     }
 }
 
-Task<http::Outcome> Mesh::toWorker(std::string zone, std::string worker, http::Request request,
-                                   Duration patience, Scope& scope) {
+Task<Mesh::Detoured> Mesh::toWorker(std::string zone, std::string worker, http::Request request,
+                                    Duration patience, Scope& scope) {
     // One peer only: with a second one asked as well, the first one's copy might be executed late
     // although the answer seems to settle it.
     std::vector<std::string> near, all;
@@ -337,7 +398,7 @@
         all.push_back(p.name);
         if (p.zone == zone) near.push_back(p.name);
     }
-    if (all.empty()) co_return http::Outcome{false, false, {503, ""}};
+    if (all.empty()) co_return Detoured{{false, false, {503, ""}}, false};
     const auto& some = near.empty() ? all : near;
     const std::string by = some[nextId_ % some.size()];  // by turns: it is work for them
     Message m;
@@ -346,11 +407,12 @@
     m.worker = std::move(worker);
     auto pending = post(by, std::move(m));
     auto o = co_await await(pending, loop_.now() + patience, scope);
-    if (!o.answered) co_return o;
-    // 502: it did not reach the worker at all; 504: the worker may have got it.
-    o.sent = o.response.status != 502;
-    o.answered = o.sent && o.response.status != 504;
-    co_return o;
+    if (o.answered) {
+        // 502: it did not reach the worker at all; 504: the worker may have got it.
+        o.sent = o.response.status != 502;
+        o.answered = o.sent && o.response.status != 504;
+    }
+    co_return Detoured{std::move(o), !near.empty()};
 }
 
 Task<http::Outcome> Mesh::viaPeers(http::Request request, Duration patience, Scope& scope) {
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -8,6 +8,7 @@
 
 #include "http/client.h"
 #include "leadership/leadership.h"
+#include "loans/holder.h"
 #include "runtime/socket.h"
 #include "settings/settings.h"
 
@@ -20,6 +21,8 @@
     bool leading = false;
     Token token = 0;
     bool ready = false;  // has loaded all records as well
+    Token hears = 0;     // of the leader that it hears; 0: none
+    bool loans = false;  // understands loans: an older version would end the link
 };
 enum class Purpose { leader, stateService, worker };
 struct Pledge {
@@ -34,6 +37,8 @@
     Purpose purpose = Purpose::leader;
     std::string worker;  // its address, for the purpose of that name
     std::optional<Pledge> pledge;
+    std::optional<loans::Question> borrow;
+    std::optional<loans::Loan> loan;
 };
 std::string encode(const Message& message);
 enum class Decoded { needMore, message, broken };
@@ -49,6 +54,8 @@
         /// `worker`: its address, for the purpose of that name.
         std::function<Task<http::Response>(Purpose, http::Request, std::string worker)> serve;
         std::function<bool(const Pledge&)> pledge;
+        /// Nothing if this node does not lead, or not yet.
+        std::function<std::optional<loans::Loan>(const loans::Question&)> lend;
     };
     Mesh(Loop& loop, const settings::Settings& settings, Hooks hooks);
     void start(Scope& scope);
@@ -57,6 +64,13 @@
     /// True only if every other node but `absent` pledges in time.
     Task<bool> pledgeAll(Pledge pledge, std::set<std::string> absent, Duration patience,
                          Scope& scope);
+    /// Asks a leader for a loan; nothing if it gives no answer.
+    Task<std::optional<loans::Loan>> borrow(std::string node, loans::Question question,
+                                            Duration patience, Scope& scope);
+    /// A connected node that said it hears the leader with that token; empty if there is none.
+    [[nodiscard]] std::string whoHears(Token token) const;
+    /// Whether that node understands loans, as it last said.
+    [[nodiscard]] bool knowsLoans(const std::string& node) const;
     /// Nodes that there has been no connection to for so long.
     [[nodiscard]] std::set<std::string> silentFor(Duration span) const;
     /// Through whichever other node reaches the state service.
@@ -64,8 +78,12 @@
     /// Through a peer to a worker: one in that zone if there is one, since it may be cut off.
     /// `sent` if the peer may have passed it on without an answer. The status of what is not
     /// answered tells whether the worker was tried: 502 and 504 from a peer, 503 for want of one.
-    Task<http::Outcome> toWorker(std::string zone, std::string worker, http::Request request,
-                                 Duration patience, Scope& scope);
+    struct Detoured {
+        http::Outcome outcome;
+        bool near = false;  // by a node in the worker's zone: a cut of that zone is no excuse
+    };
+    Task<Detoured> toWorker(std::string zone, std::string worker, http::Request request,
+                            Duration patience, Scope& scope);
     /// Another node leads and is ready: what was passed on to a former leader is not waited for any
     /// longer.
     void leaderIs(const std::string& node);
@@ -81,12 +99,15 @@
         Event wake;
         bool broken = false;
         TimePoint heardAt{};
+        std::optional<Hello> hello;  // as last heard
     };
     struct Pending {
         explicit Pending(Loop& loop) : done(loop) {}
         Event done;
         std::optional<http::Response> response;
+        std::optional<loans::Loan> loan;
         bool lost = false;
+        [[nodiscard]] bool answered() const { return response || loan; }
         std::uint64_t id = 0;
         std::string node;
         bool forLeader = false;
--- a/src/scheduler/cluster.cpp
+++ b/src/scheduler/cluster.cpp
@@ -17,6 +17,7 @@
 namespace {
 constexpr Duration leaseMargin = 500ms;
 constexpr Duration recallMargin = 2500ms;
+constexpr Duration noteAfter = 500ms;  // a withdrawal that is not proven by then goes on record
 }  // namespace
 
 Cluster::Cluster(const settings::Settings& settings, Token token)
@@ -51,6 +52,7 @@
 void Cluster::loaded(TimePoint now) {
     for (auto& [id, job] : jobs_) {
         if (job->open()) opened(*job);
+        if (job->cancelled) withdrawn_.insert(job.get());
         for (std::uint32_t t = 0; t < job->spec.tasks; ++t) {
             const JobTask& task = job->tasks[t];
             if (task.state != TaskState::bound) continue;
@@ -138,11 +140,10 @@
     return Submitted::fresh;
 }
 
-void Cluster::cancel(Job& job) {
+void Cluster::cancel(Job& job, TimePoint now) {
     if (job.cancelled || job.allDone()) return;
     job.cancelled = true;
-    touch(job, 0, Urgency::users);
-    job.cancelVersion = job.records[0].version;
+    job.cancelAskedAt = now;
     closed(job);
     // Bindings whose launch never left need no proof.
     for (const JobTask& t : job.tasks) {
@@ -152,7 +153,68 @@
         auto& charges = machines_[at].charges;
         for (std::size_t c = charges.size(); c-- > 0;)
             if (charges[c].job == &job && !charges[c].sent) release(at, c);
+        if (t.state == TaskState::bound) effects_.push.insert(at);
     }
+    withdrawn_.insert(&job);
+    settleWithdrawn(now);
+}
+
+bool Cluster::tellable(const Job& job, TimePoint now) const {
+    if (lender_ == nullptr) return true;
+    const TimePoint latest = now + std::max(Duration::zero(), lender_->terms().beyondTold());
+    return std::all_of(job.perZone.begin(), job.perZone.end(),
+                       [&](const auto& zone) { return lender_->answersEnd(zone.first) <= latest; });
+}
+
+Duration Cluster::tellableIn(const Job& job, TimePoint now) const {
+    Duration wait{};
+    if (lender_ == nullptr || job.cancelFinal) return wait;
+    const TimePoint latest = now + lender_->terms().beyondTold();
+    for (const auto& [zone, tasks] : job.perZone)
+        wait = std::max(wait, lender_->answersEnd(zone) - latest);
+    return wait;
+}
+
+TimePoint Cluster::loanCap(const std::string& zone, TimePoint now) const {
+    TimePoint cap = TimePoint::max();
+    if (lender_ == nullptr) return cap;
+    for (const Job* job : withdrawn_)
+        // Those on machines that this leader has not heard: a holder answers none of them.
+        if (job->perZone.contains(zone))
+            cap = std::min(cap, job->toldAt.value_or(now) + lender_->terms().beyondTold());
+    return cap;
+}
+
+void Cluster::settleWithdrawn(TimePoint now) {
+    if (lender_ != nullptr) lender_->lendSelf(loanCap(settings_.zone, now), now);
+    for (auto it = withdrawn_.begin(); it != withdrawn_.end();) {
+        Job& job = **it;
+        if (!job.cancelFinal && tellable(job, now)) {
+            job.cancelFinal = true;
+            touch(job, 0, Urgency::users);
+            job.cancelVersion = job.records[0].version;
+        } else if (!job.cancelFinal && !job.cancelNoted && now - job.cancelAskedAt > noteAfter) {
+            // So that a successor does not start it again.
+            job.cancelNoted = true;
+            touch(job, 0, Urgency::users);
+        }
+        it = job.cancelFinal && job.perZone.empty() ? withdrawn_.erase(it) : std::next(it);
+    }
+}
+
+TimePoint Cluster::possiblyUntil(const Machine& m, TimePoint now) const {
+    if (lender_ == nullptr) return m.leaseEnd;
+    return std::max(m.leaseEnd, lender_->leasesEnd(m.zone, now));
+}
+
+void Cluster::setAway(const std::string& zone, bool away) {
+    if (away == away_.contains(zone)) return;
+    if (away)
+        away_.insert(zone);
+    else
+        away_.erase(zone);
+    for (MachineIndex i = 0; i < machines_.size(); ++i)
+        if (machines_[i].zone == zone) changed(i);
 }
 
 void Cluster::opened(Job& job) {
@@ -352,7 +414,12 @@
     Machine& m = machines_[i];
     if (m.presence == Presence::gone) return;
     if (m.up() && m.recalledAt) saveBeforeRecall(i, now);
-    if (!m.charges.empty() && now >= m.leaseEnd) {
+    const bool held = now >= m.leaseEnd && now < possiblyUntil(m, now);
+    if (held && !m.charges.empty()) {
+        // Answered by a node that holds a loan, perhaps: what it told may be old, and is asked of
+        // the books again.
+        attendAt(i, now + 500ms);
+    } else if (!m.charges.empty() && now >= m.leaseEnd) {
         // Nobody can have renewed it: the worker has killed everything and begun a new session,
         // which also fences direct orders that are still under way.
         spdlog::warn("machine {} silent for a whole lease: {} tasks released", m.name,
@@ -375,6 +442,7 @@
         machines_[i].attendAt = TimePoint::max();
         attend(i, now);
     }
+    settleWithdrawn(now);
 }
 
 }  // namespace basaltchute::scheduler
--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -8,6 +8,7 @@
 
 #include "fleet/catalogue.h"
 #include "jobs/job.h"
+#include "loans/lender.h"
 #include "scheduler/room.h"
 #include "settings/operator.h"
 #include "settings/settings.h"
@@ -42,7 +43,28 @@
     // Users
     [[nodiscard]] Job* find(const JobId& id);
     Submitted submit(const JobSpec& spec, TimePoint now, WallMillis wall);
-    void cancel(Job& job);
+    /// No task of it starts any more, and all are stopped. It is final, and may be told, once
+    /// whatever may still run ends within the time that users are promised.
+    void cancel(Job& job, TimePoint now);
+    /// A user is being told that the job is cancelled: what may still run must end from then on
+    /// within `cancelWithin`.
+    void told(Job& job, TimePoint now) {
+        if (!job.toldAt) job.toldAt = now;
+    }
+    /// How long until a withdrawal that cannot be told yet can be, unless it is proven earlier.
+    [[nodiscard]] Duration tellableIn(const Job& job, TimePoint now) const;
+
+    // Loans
+    /// What was lent to zones; it must live as long as the cluster.
+    void setLender(loans::Lender& lender) { lender_ = &lender; }
+    /// How late a holder in the zone may answer workers for the leader: not so late that a task
+    /// whose job was told to be cancelled, and that is not proven gone, could outlive its time.
+    [[nodiscard]] TimePoint loanCap(const std::string& zone, TimePoint now) const;
+    /// When what is on the machine has surely been killed with its lease, if nothing is heard.
+    [[nodiscard]] TimePoint possiblyUntil(const workers::Machine& m, TimePoint now) const;
+    /// A zone that is cut off with its controllers gets no more work until it is back.
+    void setAway(const std::string& zone, bool away);
+    [[nodiscard]] bool away(const std::string& zone) const { return away_.contains(zone); }
 
     // Machines
     /// The orders that answer the report; to be called before anything is answered.
@@ -55,8 +77,10 @@
     /// It was silent and has not answered when asked either.
     void unanswered(MachineIndex machine) { ++machines_[machine].unanswered; }
     /// Where a machine that has not reported yet can be asked, as the cloud lists it.
-    void setAddress(MachineIndex machine, const std::string& address) {
-        if (!machines_[machine].up()) machines_[machine].address = address;
+    void setAddress(MachineIndex machine, const std::string& address, const std::string& zone) {
+        workers::Machine& m = machines_[machine];
+        m.listedZone = zone;
+        if (!m.up()) m.address = address;
     }
     void machineGone(MachineIndex machine, TimePoint now);
     /// The machine is to be returned, or is wanted again after all.
@@ -121,6 +145,9 @@
               std::vector<cells::CellIndex> cells = {});
     void finish(Job& job, std::uint32_t task);
     void unbind(Job& job, std::uint32_t task);
+    /// Makes withdrawals final that can be told now; those that have to wait are put on record.
+    void settleWithdrawn(TimePoint now);
+    [[nodiscard]] bool tellable(const Job& job, TimePoint now) const;
     void opened(Job& job);
     void closed(Job& job);
     /// Lists the job among those with tasks to place, or strikes it off.
@@ -206,6 +233,9 @@
     fleet::Catalogue catalogue_;
     std::unordered_map<JobId, std::unique_ptr<Job>> jobs_;
     std::vector<Job*> open_;
+    std::set<Job*> withdrawn_;  // that are not final, or may still run somewhere
+    loans::Lender* lender_ = nullptr;
+    std::set<std::string> away_;
     workers::Registry machines_;
     std::map<std::string, cells::Pool> pools_;  // by machine type
     /// Machine cells that a team's tasks share: bound with the first, returned with the last.
--- a/src/settings/operator.cpp
+++ b/src/settings/operator.cpp
@@ -49,6 +49,7 @@
     }
     if (const auto n = json::count(*doc, "machinesPerZoneCell"))
         out.machinesPerZoneCell = static_cast<std::uint32_t>(*n);
+    out.zoneLoans = json::boolean(*doc, "zoneLoans").value_or(true);
     struct Room {
         std::uint64_t machines = 0, slotsPerMachine = 1, slotsWanted = 0;
     };
--- a/src/settings/operator.h
+++ b/src/settings/operator.h
@@ -19,6 +19,8 @@
 struct Operator {
     std::map<std::string, double> weights;  // of teams that share what is not reserved; 1 if absent
     std::uint32_t machinesPerZoneCell = 2;
+    /// Controllers may answer the workers of their zone in a silent leader's name.
+    bool zoneLoans = true;
     std::vector<Reservation> reservations;
     std::map<std::string, std::uint32_t> held;  // ordinary machines kept ready, by type
 };
--- a/src/workers/machine.h
+++ b/src/workers/machine.h
@@ -37,6 +37,7 @@
 
 struct Machine {
     std::string name, address, type, zone;
+    std::string listedZone;  // by the cloud's list, for one that has not reported yet
     bool spot = false;
     Presence presence = Presence::expected;
     std::uint64_t session = 0, sequence = 0;
--- a/src/workers/reach.h
+++ b/src/workers/reach.h
@@ -1,4 +1,5 @@
 #pragma once
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -17,8 +18,12 @@
         MachineIndex machine = noMachine;
         std::string zone, address;
     };
+    struct Detoured {
+        http::Outcome outcome;
+        bool near = false;  // a node in that zone passed it on
+    };
     /// Asks a peer, one in that zone if there is one, to pass the request on.
-    using Detour = std::function<Task<http::Outcome>(Target, http::Request, Duration, Scope&)>;
+    using Detour = std::function<Task<Detoured>(Target, http::Request, Duration, Scope&)>;
     Reach(Loop& loop, std::size_t sockets, Detour detour)
         : loop_(loop), direct_(loop, sockets), detour_(std::move(detour)) {}
 
@@ -26,8 +31,8 @@
         http::Outcome outcome;
         /// A copy left and was not answered: it may be executed yet, whatever the outcome is.
         bool stray = false;
-        /// Not reached by a way that works, or by the only one there is: the fault is the
-        /// machine's.
+        /// Not reached by a way that works: the fault is the machine's. A cut of its zone explains
+        /// silence as well, so somebody in that zone must have spoken.
         bool proof = false;
     };
     /// `insist`: over a peer too, even if only this machine is not reached, unless others in its
@@ -42,9 +47,13 @@
     struct Way {
         std::set<MachineIndex> failed;
         TimePoint workedAt{}, nextProbe{};
-        bool told = false;  // that it is cut
+        bool told = false;            // that it is cut
+        std::deque<Target> answered;  // machines that did of late, the last one first
     };
     [[nodiscard]] bool works(const Way& way) const;
+    /// Whether some other machine in the zone answers, by this node's own way or over a peer.
+    Task<bool> othersAnswer(Target target, Scope& scope);
+    void heardOf(Way& way, const Target& target);
     Task<http::Outcome> direct(const Target& target, http::Request request, Duration patience,
                                Scope& scope);
     /// Finds out whether the own way works again, with a question that no order depends on.
