A sample of machines is always asked; rentals and lists hold up no plan

Cause: of machines that hang or die together the first were found by an order or a late report, 3 to 5 s after, each question waited for the plan's next second, and a deletion for the rentals and the list before it. Excluded: a shorter patience alone (the plan's pace decided). Change: each second up to 24 machines heard of longest ago are asked; what does not answer is asked three times in a row, 0.5 s each by the leader's own way; the plan is made anew as soon as some are found dying. Rentals run beside the plan and count as coming from when they are asked for; the list has a routine of its own; rentals leave three calls of the cloud's budget to deletions.

--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -13,6 +13,8 @@
 namespace {
 constexpr Duration factPatience = 3s;
 constexpr Duration askPatience = 900ms;
+constexpr std::size_t askTries = 3;  // what a machine is given up after
+constexpr Duration planEvery = 1s, planGather = 250ms;
 constexpr Duration tick = 250ms;
 constexpr Duration gather = 10ms;
 const std::string experienceKey = "fleet/experience";
@@ -42,7 +44,7 @@
       scope_(loop),
       written_(loop),
       kicked_(loop),
-      rented_(loop),
+      dying_(loop),
       lender_(loans::Terms::of(settings), leadership.token(), {settings.node, settings.zone},
               hooks.sinceUse, othersOf(settings), loop.now()),
       cluster_(settings, leadership.token()),
@@ -89,6 +91,7 @@
         scope_.spawn(writer_.run(scope_));
         scope_.spawn(schedule());
         scope_.spawn(manageFleet());
+        scope_.spawn(readCloud());
         scope_.spawn(recallExperience());
         scope_.spawn(keepExperience());
         co_return;
@@ -171,20 +174,24 @@
 }
 
 Task<void> Reign::ask(MachineIndex machine) {
-    http::Request request{"GET", "/inspect", ""};
-    workers::Reach::Target to = target(machine);
-    const auto reached =
-        co_await reach_.request(std::move(to), std::move(request), askPatience, true, scope_);
-    if (scope_.cancelled()) co_return;
-    const http::Outcome& o = reached.outcome;
-    // Given up only if other nodes do not reach it either.
-    if (reached.proof)
+    if (!asking_.insert(machine).second) co_return;
+    for (std::size_t tries = 0; tries < askTries && !scope_.cancelled(); ++tries) {
+        http::Request request{"GET", "/inspect", ""};
+        workers::Reach::Target to = target(machine);
+        const auto reached =
+            co_await reach_.request(std::move(to), std::move(request), askPatience, true, scope_);
+        if (scope_.cancelled()) co_return;
+        const http::Outcome& o = reached.outcome;
+        if (o.answered && o.response.status == 200 && heed(o.response.body)) kick();
+        // Given up only if others in its zone speak.
+        if (!reached.proof) break;
         cluster_.unanswered(machine);
-    else if (o.answered && o.response.status == 200 && heed(o.response.body))
-        kick();
+        dying_.notify();
+    }
+    asking_.erase(machine);
 }
 
-Task<void> Reign::manageFleet() {
+Task<void> Reign::readCloud() {
     TimePoint catalogueAt{}, listAt{};
     while (!scope_.cancelled()) {
         if (loop_.now() >= catalogueAt) {
@@ -198,8 +205,20 @@
             if (all) fleet_.listed(*all, loop_.now());
             listAt = loop_.now() + 2s;
         }
+        co_await loop_.sleep(500ms, scope_);
+    }
+}
+
+Task<void> Reign::manageFleet() {
+    while (!scope_.cancelled()) {
         findAway();
         const fleet::Plan plan = fleet_.plan(loop_.now());
+        for (const auto& wanted : plan.rent) scope_.spawn(rent(wanted));
+        for (const MachineIndex machine : plan.ask) scope_.spawn(ask(machine));
+        // Machines of a zone that this node is cut off from say nothing about death: once a sweep
+        // over a peer, which was too much for it, had 140 sound ones given up.
+        for (const MachineIndex machine : plan.sweep)
+            if (!reach_.cut(cluster_.machines()[machine].zone)) scope_.spawn(ask(machine));
         if (!plan.remove.empty() && leadership_.mayAct()) {
             const bool gone = co_await cloud_.remove(plan.remove, scope_);
             if (scope_.cancelled()) co_return;
@@ -208,13 +227,9 @@
                 kick();
             }
         }
-        for (const MachineIndex machine : plan.ask) scope_.spawn(ask(machine));
-        // Machines of a zone that this node is cut off from say nothing about death: once a sweep
-        // over a peer, which was too much for it, had 140 sound ones given up.
-        for (const MachineIndex machine : plan.sweep)
-            if (!reach_.cut(cluster_.machines()[machine].zone)) scope_.spawn(ask(machine));
-        co_await rentAll(plan.rent);
-        co_await loop_.sleep(1s, scope_);
+        // Those who die together are found together: one look for all of them.
+        const Wake woke = co_await loop_.wait(dying_, loop_.now() + planEvery, scope_);
+        if (woke == Wake::signalled) co_await loop_.sleep(planGather, scope_);
     }
 }
 
@@ -251,18 +266,9 @@
     }
 }
 
-Task<void> Reign::rentAll(std::vector<fleet::Rent> wanted) {
-    for (auto& rent : wanted) scope_.spawn(rentOne(std::move(rent)));
-    while (renting_ > 0 && !scope_.cancelled())
-        co_await loop_.wait(rented_, TimePoint::max(), scope_);
-}
-
-Task<void> Reign::rentOne(fleet::Rent wanted) {
-    if (!leadership_.mayAct()) co_return;
-    ++renting_;
-    const auto result = co_await cloud_.rent(wanted, scope_);
-    --renting_;
-    rented_.notify();
+Task<void> Reign::rent(fleet::Rent wanted) {
+    fleet::Cloud::Rented result;
+    if (leadership_.mayAct()) result = co_await cloud_.rent(wanted, scope_);
     if (scope_.cancelled()) co_return;
     if (result.answer == fleet::Cloud::Answer::ok)
         fleet_.rented(wanted, result.names, loop_.now());
--- a/src/app/reign.h
+++ b/src/app/reign.h
@@ -48,7 +48,8 @@
     Task<void> direct(MachineIndex machine);
     /// Takes in a report that came as an answer; false if it made this node step down.
     bool heed(const std::string& body);
-    /// Asks a silent machine for a report: dead ones are told from late ones within seconds.
+    /// Asks a silent machine for a report, several times in a row: dead ones are told from late
+    /// ones within a second or two.
     Task<void> ask(MachineIndex machine);
     Task<void> manageFleet();
     /// Zones whose machines and controllers are silent alike.
@@ -56,10 +57,9 @@
     /// What was learnt goes on record now and then, for the next leader.
     Task<void> keepExperience();
     Task<void> recallExperience();
-    /// Rents all at once, within the cloud's rate: one call after the other is too slow for a
-    /// wave of machines taken away.
-    Task<void> rentAll(std::vector<fleet::Rent> wanted);
-    Task<void> rentOne(fleet::Rent wanted);
+    Task<void> rent(fleet::Rent wanted);
+    /// Keeps up with the cloud's catalogue and list of machines.
+    Task<void> readCloud();
     /// Waits for a fact to stand in the state service; false if it cannot soon.
     template <typename Fact>
     Task<bool> stands(Fact fact);
@@ -71,7 +71,7 @@
     state::Client& state_;
     Leadership& leadership_;
     Scope scope_;
-    Event written_, kicked_, rented_;
+    Event written_, kicked_, dying_;
     loans::Lender lender_;
     scheduler::Cluster cluster_;
     state::Guard guard_;
@@ -79,7 +79,7 @@
     fleet::Cloud cloud_;
     fleet::Fleet fleet_;
     workers::Reach reach_;
-    std::size_t renting_ = 0;
+    std::set<MachineIndex> asking_;
     std::function<void()> onLoaded_;
     std::function<bool(const std::string&)> speaks_;
     TimePoint lentToSelf_{};
--- a/src/fleet/cloud.cpp
+++ b/src/fleet/cloud.cpp
@@ -8,17 +8,24 @@
 
 using namespace std::chrono_literals;
 
+namespace {
+// Calls that rentals leave in the budget: a deletion frees the tasks of dead machines, and once
+// waited for two seconds behind a burst of rentals.
+constexpr double keptForDeletions = 3;
+}  // namespace
+
 Cloud::Cloud(Loop& loop, const settings::Settings& s, std::function<bool()> mayAct)
     : loop_(loop),
       http_(loop, s.cloud, 4),
       calls_(s.cloudRps * 0.8, s.cloudRps, loop.now()),
       mayAct_(std::move(mayAct)) {}
 
-Task<http::Outcome> Cloud::send(http::Request request, Scope& scope) {
-    while (!calls_.take(loop_.now())) {
-        const Wake woke = co_await loop_.sleep(calls_.until(loop_.now()), scope);
+Task<http::Outcome> Cloud::send(http::Request request, Scope& scope, double reserve) {
+    while (calls_.available(loop_.now()) < 1 + reserve) {
+        const Wake woke = co_await loop_.sleep(calls_.until(loop_.now(), 1 + reserve), scope);
         if (woke == Wake::cancelled) co_return http::Outcome{};
     }
+    calls_.take(loop_.now());
     if (!mayAct_()) co_return http::Outcome{};
     auto outcome = co_await http_.request(std::move(request), 5s, scope);
     co_return outcome;
@@ -89,7 +96,7 @@
     out.open().field("booking", rent.booking).field("rigKind", rent.type).field("hall", rent.zone);
     out.field("loaners", rent.spot).field("howMany", rent.count).close();
     http::Request request{"POST", "/hosts", out.text()};
-    auto o = co_await send(std::move(request), scope);
+    auto o = co_await send(std::move(request), scope, keptForDeletions);
     Rented result;
     if (!o.answered) {
         if (!o.sent) result.answer = Answer::refused;
--- a/src/fleet/cloud.h
+++ b/src/fleet/cloud.h
@@ -26,7 +26,8 @@
     Task<bool> remove(std::vector<std::string> names, Scope& scope);
 
   private:
-    Task<http::Outcome> send(http::Request request, Scope& scope);
+    /// `reserve`: calls that are left in the budget for others.
+    Task<http::Outcome> send(http::Request request, Scope& scope, double reserve = 0);
     Loop& loop_;
     http::Client http_;
     Budget calls_;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -55,8 +55,11 @@
     };
     for (const auto& m : cluster_.machines())
         if (m.up() && !m.sick && !m.recalledAt && !m.draining) count(m.type, m.spot);
-    if (withComing)
+    if (withComing) {
         for (const auto& [name, c] : coming_) count(std::get<0>(c.pool), std::get<2>(c.pool));
+        for (const auto& [pool, rent] : asking_)
+            for (unsigned n = 0; n < rent.count; ++n) count(rent.type, rent.spot);
+    }
     return out;
 }
 
@@ -85,6 +88,8 @@
         if (m.up() && !m.spot && !m.sick && !m.draining && m.type == type) ++n;
     for (const auto& [name, c] : coming_)
         if (std::get<0>(c.pool) == type && !std::get<2>(c.pool)) ++n;
+    for (const auto& [pool, rent] : asking_)
+        if (rent.type == type && !rent.spot) n += rent.count;
     return n;
 }
 
@@ -168,19 +173,20 @@
         shrink(now);
         emptyDraining(now);
     }
+    for (const Rent& r : plan.rent) asking_[{r.type, r.zone, r.spot}] = r;
     plan.remove.assign(dead_.begin(), dead_.end());
     if (plan.remove.size() > maxPerDeletion) plan.remove.resize(maxPerDeletion);
     return plan;
 }
 
 void Fleet::grow(TimePoint now, Plan& plan) {
-    for (const auto& [pool, rent] : unsettled_) plan.rent.push_back(rent);
+    for (const auto& [pool, rent] : unsettled_)
+        if (!asking_.contains(pool)) plan.rent.push_back(rent);
     for (const auto& [name, t] : cluster_.catalogue()) {
         std::uint32_t n = ordinaryOf(name);
         for (const auto& zone : t.zones) {
             const Pool pool{name, zone, false};
-            if (n >= heldOf(name) || unsettled_.contains(pool) || refusedUntil_[pool] > now)
-                continue;
+            if (n >= heldOf(name) || !mayAsk(pool, now)) continue;
             plan.rent.push_back(
                 {nextBooking(), name, zone, false, std::min(maxPerRequest, heldOf(name) - n)});
             n += plan.rent.back().count;
@@ -200,6 +206,12 @@
                 Kind::ordinaryForSpotWork, now, plan);
 }
 
+bool Fleet::mayAsk(const Pool& pool, TimePoint now) const {
+    const auto refused = refusedUntil_.find(pool);
+    return !unsettled_.contains(pool) && !asking_.contains(pool) &&
+           (refused == refusedUntil_.end() || refused->second <= now);
+}
+
 std::string Fleet::nextBooking() {
     // Never used again: the token is this leader's alone.
     return "b-" + std::to_string(cluster_.token()) + '-' + std::to_string(++bookings_);
@@ -218,7 +230,12 @@
         std::vector<const std::string*> zones;
         for (const auto& zone : t->zones) {
             const Pool pool{t->name, zone, spot};
-            if (!unsettled_.contains(pool) && refusedUntil_[pool] <= now) zones.push_back(&zone);
+            // A plan may ask for the same pool for two reasons: the second one waits.
+            const bool planned =
+                std::any_of(plan.rent.begin(), plan.rent.end(), [&](const Rent& r) {
+                    return r.type == t->name && r.zone == zone && r.spot == spot;
+                });
+            if (!planned && mayAsk(pool, now)) zones.push_back(&zone);
         }
         // The same from each zone: replicas are spread, and a zone may be lost.
         for (std::size_t left = zones.size(); left > 0; --left) {
@@ -236,6 +253,9 @@
 void Fleet::rented(const Rent& r, const std::vector<std::string>& names, TimePoint now) {
     const Pool pool{r.type, r.zone, r.spot};
     unsettled_.erase(pool);
+    asking_.erase(pool);
+    spdlog::debug("{} of {} {} machines of type {} in {}", names.size(), r.count,
+                  r.spot ? "spot" : "ordinary", r.type, r.zone);
     for (const auto& n : names) coming_.try_emplace(n, Coming{pool, now});
     // Filled only in part: there is no more for the moment.
     if (names.size() < r.count) refusedUntil_[pool] = now + refusalPause;
@@ -243,7 +263,10 @@
 
 void Fleet::rentFailed(const Rent& r, bool settled, TimePoint now) {
     const Pool pool{r.type, r.zone, r.spot};
+    asking_.erase(pool);
     if (settled) {
+        spdlog::debug("no {} machines of type {} in {}", r.spot ? "spot" : "ordinary", r.type,
+                      r.zone);
         unsettled_.erase(pool);
         refusedUntil_[pool] = now + refusalPause;
     } else {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -25,7 +25,7 @@
     std::vector<Rent> rent;
     std::vector<std::string> remove;
     std::vector<MachineIndex> ask;    // silent ones: whether they can be reached
-    std::vector<MachineIndex> sweep;  // not late yet, but others are dying
+    std::vector<MachineIndex> sweep;  // not late yet: a sample, or others are dying
 };
 
 /// Cores that the fleet should have, by the kind of machine that may serve them.
@@ -41,6 +41,7 @@
   public:
     explicit Fleet(scheduler::Cluster& cluster, TimePoint now) : cluster_(cluster), since_(now) {}
     void listed(const std::vector<Listed>& all, TimePoint now);
+    /// Every rental of it must be ended by rented() or rentFailed().
     Plan plan(TimePoint now);
     void rented(const Rent& rent, const std::vector<std::string>& names, TimePoint now);
     /// `settled`: the cloud refused, so nothing was or will be rented under this booking.
@@ -81,6 +82,7 @@
     void emptyDraining(TimePoint now);
     void grow(TimePoint now, Plan& plan);
     std::string nextBooking();
+    [[nodiscard]] bool mayAsk(const Pool& pool, TimePoint now) const;
     [[nodiscard]] std::uint32_t heldOf(const std::string& type) const;
     [[nodiscard]] std::uint32_t ordinaryOf(const std::string& type) const;
     enum class Kind { ordinary, spot, ordinaryForSpotWork };
@@ -96,7 +98,7 @@
     scheduler::Cluster& cluster_;
     experience::Experience experience_;
     TimePoint since_;
-    TimePoint measuredAt_{}, sweptAt_{};
+    TimePoint measuredAt_{}, sweptAt_{}, sampledAt_{};
     std::deque<std::pair<TimePoint, std::string>> givenUpAt_;  // within a lease, with the zone
     std::map<std::string, ClassDemand> classes_;
     Target target_;
@@ -105,6 +107,7 @@
     std::map<std::string, Coming> coming_;  // rented, not up yet
     std::map<Pool, TimePoint> refusedUntil_;
     std::map<Pool, Rent> unsettled_;  // answers lost: asked again under the same name
+    std::map<Pool, Rent> asking_;     // on their way to the cloud; one for each pool
     std::set<std::string> dead_;      // to be deleted
     std::uint64_t bookings_ = 0;
     bool everListed_ = false;
--- a/src/fleet/losses.cpp
+++ b/src/fleet/losses.cpp
@@ -17,6 +17,8 @@
 constexpr Duration reportDelay = 1500ms;
 constexpr std::uint32_t askedInVain = 2;
 constexpr std::size_t fewDying = 3, sweepMost = 300, fewAsked = 5;
+constexpr std::size_t sampleLeast = 4, sampleMost = 24;
+constexpr Duration sampleEvery = 900ms;  // a plan is made each second, or when machines die
 struct ZoneCount {
     std::size_t up = 0, silent = 0;
 };
@@ -58,7 +60,7 @@
     // Reports come as much as a quarter late.
     const Duration overdue = s.reportEvery * 5 / 4 + reportDelay;
     std::map<std::string, ZoneCount> zones;
-    std::size_t askedAway = 0;
+    std::size_t up = 0, askedAway = 0;
     std::vector<const Machine*> lost;
     std::vector<std::pair<TimePoint, MachineIndex>> unheard;
     for (MachineIndex i = 0; i < cluster_.machines().size(); ++i) {
@@ -66,6 +68,7 @@
         if (m.presence == Presence::gone || (!m.up() && m.charges.empty())) continue;
         ZoneCount& zone = zones[m.up() ? m.zone : m.listedZone];
         ++zone.up;
+        ++up;
         // What runs on it is on record, and it has not found this leader; a machine is listed
         // until it is gone.
         if (!m.up() && now - since_ > s.listLag * 2 + reportDelay && !names_.contains(m.name) &&
@@ -103,15 +106,21 @@
             lost.push_back(&m);
     }
     // Machines die together, and reports are seconds apart: once a few do not answer, the others
-    // are asked before their reports are late, those heard of longest ago first.
+    // are asked before their reports are late, those heard of longest ago first. So that the first
+    // few are found within a second or two, a sample is always asked.
     std::size_t dying = 0;
-    for (const auto& m : cluster_.machines()) dying += m.up() && m.unanswered > 0 ? 1 : 0;
+    for (const auto& m : cluster_.machines())
+        dying += m.up() && m.unanswered > 0 && !cluster_.away(m.zone) ? 1 : 0;
+    std::sort(unheard.begin(), unheard.end());
+    std::size_t asked = 0;
     if (dying >= fewDying && now - sweptAt_ >= s.reportEvery / 2) {
         sweptAt_ = now;
-        std::sort(unheard.begin(), unheard.end());
-        if (unheard.size() > sweepMost) unheard.resize(sweepMost);
-        for (const auto& [heard, i] : unheard) plan.sweep.push_back(i);
+        asked = std::min(unheard.size(), sweepMost);
+    } else if (now - sampledAt_ >= sampleEvery) {
+        sampledAt_ = now;
+        asked = std::min(unheard.size(), std::clamp(up / 20, sampleLeast, sampleMost));
     }
+    for (std::size_t i = 0; i < asked; ++i) plan.sweep.push_back(unheard[i].second);
     // Most of a zone at once is rather a cut or this node's own starvation, whatever the evidence;
     // the machines are well and deleting them would be the damage. Those given up within a lease
     // count with them, or a long cut would take a part at a time.
--- a/src/workers/reach.cpp
+++ b/src/workers/reach.cpp
@@ -11,6 +11,7 @@
 constexpr Duration proven = 1500ms;  // since an answer: when many die at once, others answer yet
 constexpr Duration probeEvery = 2s;
 constexpr Duration probePatience = 500ms;
+constexpr Duration questionPatience = 500ms;
 constexpr std::size_t witnesses = 8, witnessesAsked = 3;
 }  // namespace
 
@@ -81,14 +82,16 @@
     if (!cut(target.zone)) {
         const TimePoint sent = loop_.now();
         http::Request copy = request;
-        out.outcome = co_await direct(target, std::move(copy), patience, scope);
+        // A question is answered within milliseconds, and asked again if it is not.
+        const Duration own = insist ? std::min(patience, questionPatience) : patience;
+        out.outcome = co_await direct(target, std::move(copy), own, scope);
         if (out.outcome.answered || scope.cancelled()) co_return out;
         out.stray = out.outcome.sent;
         // Where others answer, the fault is the machine's; a detour would only find it out later.
         const Way& way = ways_[target.zone];
         // Before that, the way may have been cut since; and a node that was itself held up cannot
         // tell whether the machine was.
-        const bool heldUp = loop_.now() - sent > patience + patience / 4;
+        const bool heldUp = loop_.now() - sent > own + own / 4;
         out.proof = way.workedAt > sent && !heldUp;
         if (out.proof || heldUp || (!insist && !cut(target.zone))) co_return out;
     } else if (Way& way = ways_[target.zone]; loop_.now() >= way.nextProbe) {
