A holder answers workers that had not found the lender yet

Excluded: that such a worker runs what the lender does not know; every binding is on record before its launch, and the lender has loaded all records. Change: a report with the loan's token or a lower one is answered, with the loan's token, which fences the former leader's orders. So caps and ends count machines that have not reported as in any zone, which also makes the books simpler.

--- a/src/loans/holder.cpp
+++ b/src/loans/holder.cpp
@@ -31,9 +31,10 @@
 
 bool Holder::answer(Token seen, const std::string& zone, Token newest, TimePoint now) {
     if (newest > token_) drop();
-    // A worker that has seen another token is one that the lender never heard, so that it does not
-    // know what runs there; or one that would drop the answer and go without its lease.
-    if (zone != zone_ || seen != token_ || now >= until_ || now < heardAt_ + terms_.quiet)
+    // A worker that has seen a higher token would drop the answer, and wait for its lease to end.
+    // One that has only seen a lower one has not found the lender yet, who knows all the same by
+    // the records what may run there; and the answer fences what a former leader sent.
+    if (zone != zone_ || seen > token_ || now >= until_ || now < heardAt_ + terms_.quiet)
         return false;
     lastUse_ = now;
     ++used_;
--- a/src/loans/lender.cpp
+++ b/src/loans/lender.cpp
@@ -6,9 +6,9 @@
                const std::vector<Node>& others, TimePoint electedAt)
     : terms_(terms), token_(token), self_(self.name) {
     const TimePoint assumed = electedAt + terms.longest;
-    for (const auto& n : others) holders_[n.name] = {n.zone, assumed, assumed, {}, {}, {}};
+    for (const auto& n : others) holders_[n.name] = {n.zone, assumed, {}, {}, {}};
     // It leads, so it holds none of a former leader's; what it answered before still counts.
-    holders_[self.name] = {self.zone, electedAt, {}, TimePoint::max(), electedAt - sinceUse, {}};
+    holders_[self.name] = {self.zone, electedAt, TimePoint::max(), electedAt - sinceUse, {}};
 }
 
 std::string Lender::zoneOf(const std::string& node) const {
@@ -29,7 +29,7 @@
             // It has this loan, so none of before; and it had not used it when it took it.
             const Duration quiet = terms_.quiet - Terms::drift(terms_.quiet);
             h.clearUntil = std::max(h.clearUntil, h.given.front().at + quiet);
-            h.until = h.formerUntil = TimePoint{};
+            h.until = TimePoint{};
             for (const auto& g : h.given) h.until = std::max(h.until, g.until);
         }
     }
@@ -52,18 +52,15 @@
         if (!zone.empty() && h.zone != zone) continue;
         end = std::max(end, h.usedUntil + terms_.surely());
         // What is told of a holder is as old as its question; it keeps silent for a while after.
-        const TimePoint until = zone.empty() ? h.formerUntil : h.until;
-        if (now >= h.clearUntil) end = std::max(end, until + terms_.surely());
+        if (now >= h.clearUntil) end = std::max(end, h.until + terms_.surely());
     }
     return end;
 }
 
 TimePoint Lender::answersEnd(const std::string& zone) const {
     TimePoint end{};
-    for (const auto& [name, h] : holders_) {
-        if (zone.empty()) end = std::max(end, h.formerUntil);
-        if (h.zone == zone) end = std::max(end, h.until);
-    }
+    for (const auto& [name, h] : holders_)
+        if (zone.empty() || h.zone == zone) end = std::max(end, h.until);
     return end;
 }
 
--- a/src/loans/lender.h
+++ b/src/loans/lender.h
@@ -29,11 +29,10 @@
     /// Off: nothing is lent, but what was lent still counts.
     void setLending(bool lends) { lends_ = lends; }
     /// When a worker of the zone has surely no lease any more that a holder renewed. An empty zone:
-    /// of a worker that this leader has not heard, whose zone it does not know.
+    /// in whichever zone it is.
     [[nodiscard]] TimePoint leasesEnd(const std::string& zone, TimePoint now) const;
     /// When the last holder in the zone has stopped answering, even if this leader falls silent
-    /// now. An empty zone: as above, and workers that this leader has not heard are answered by
-    /// former leaders' loans only.
+    /// now. An empty zone: as above.
     [[nodiscard]] TimePoint answersEnd(const std::string& zone) const;
     /// How late that node may answer, of what this leader knows.
     [[nodiscard]] TimePoint answersEndOf(const std::string& node) const {
@@ -51,7 +50,6 @@
     struct Held {
         std::string zone;
         TimePoint until;          // the latest that it may answer, by our clock
-        TimePoint formerUntil;    // the same by a former leader's loan
         TimePoint clearUntil;     // it surely does not answer before this
         TimePoint usedUntil;      // the latest that it has answered, of what it told
         std::deque<Given> given;  // since the one that it confirmed
--- a/src/scheduler/cluster.cpp
+++ b/src/scheduler/cluster.cpp
@@ -179,8 +179,8 @@
     TimePoint cap = TimePoint::max();
     if (lender_ == nullptr) return cap;
     for (const Job* job : withdrawn_)
-        // Those on machines that this leader has not heard: a holder answers none of them.
-        if (job->perZone.contains(zone))
+        // A machine that has not reported to this leader may be in any zone.
+        if (job->perZone.contains(zone) || job->perZone.contains(""))
             cap = std::min(cap, job->toldAt.value_or(now) + lender_->terms().beyondTold());
     return cap;
 }
