--- a/src/fleet/losses.cpp
+++ b/src/fleet/losses.cpp
@@ -22,7 +22,7 @@
 struct ZoneCount {
     std::size_t up = 0, silent = 0;
 };
-constexpr Duration sweepAge = 2500ms;  // a machine heard of since then is hardly dead
+constexpr Duration sweepAge = 1500ms;  // a machine heard of since then is hardly dead
 }  // namespace
 
 void Fleet::replaceStuck(TimePoint now) {
@@ -113,7 +113,7 @@
         dying += m.up() && m.unanswered > 0 && !cluster_.away(m.zone) ? 1 : 0;
     std::sort(unheard.begin(), unheard.end());
     std::size_t asked = 0;
-    if (dying >= fewDying && now - sweptAt_ >= s.reportEvery / 2) {
+    if (dying >= fewDying && now - sweptAt_ >= sweepAge) {
         sweptAt_ = now;
         asked = std::min(unheard.size(), sweepMost);
     } else if (now - sampledAt_ >= sampleEvery) {
--- a/src/scheduler/cluster_test.cpp
+++ b/src/scheduler/cluster_test.cpp
@@ -669,6 +669,34 @@
     EXPECT_EQ(batch.boundCount, 4U);
 }
 
+TEST_F(ClusterTest, AReplicaTakesAMachineWithFewOtherImagesFirst) {
+    // Room on machines with many images went to whoever came; a tenth of the replicas then found
+    // none with their own and started late.
+    settings.objectives = {{"wait", "web", 1s, 0.9}};
+    Worker rich("n-1"), poor("n-2", "b");
+    JobSpec web = testing::spec("run-1", 1);
+    web.jobClass = "web";
+    web.shape = Shape::service;
+    web.priority = Priority::production;
+    web.spotAllowed = false;
+    web.demand = {2, 0, 2};
+    web.image = "img-a";
+    running(rich, web);
+    web.id = "run-2";
+    web.image = "img-b";
+    running(rich, web);
+    web.id = "run-3";
+    web.image = "img-a";
+    web.zone = "b";
+    running(poor, web);
+    web.id = "run-4";
+    web.zone.reset();
+    const Job& next = submit(web);
+    place();
+    ASSERT_EQ(next.boundCount, 1U);
+    EXPECT_EQ(next.tasks[0].machine, *cluster->machines().find("n-2")) << "although n-1 is fuller";
+}
+
 TEST_F(ClusterTest, ATaskOnARecalledMachineSavesAsLateAsItCan) {
     Worker w("n-1");
     JobSpec s = testing::spec("run-1");
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -16,6 +16,8 @@
 
 constexpr Duration settledReplica = 40s;  // a start that is stopped sooner does not count as one
 constexpr Duration nextLook = 1s;         // what waits is looked at again, as its order changes
+constexpr std::size_t replicaLooks = 12;  // machines of a kind that are compared for a replica
+constexpr double richness = 1.5;          // against the share of a machine that stays free
 
 }  // namespace
 
@@ -89,6 +91,7 @@
 
 MachineIndex Cluster::pick(const Job& job, const Planned& planned, TimePoint now) const {
     const JobSpec& s = job.spec;
+    const bool lasts = wantsWarm(s);
     MachineIndex best = noMachine;
     double bestCost = std::numeric_limits<double>::infinity();
     const auto usable = [&](MachineIndex i) {
@@ -118,15 +121,19 @@
             (s.spotAllowed && !spot ? 4 : 0) + (mixes ? 1 : 0) + 0.5 * (2 - distance);
         const auto consider = [&](const RoomSet& machines, double delay) {
             if (base + delay >= bestCost) return;
+            std::size_t looked = 0;
             machines.ascend(s.demand, [&](MachineIndex i) {
                 if (!usable(i)) return false;
                 const double left = room_.of(i)->free.cores - s.demand.cores;
-                const double cost = base + delay + left / whole;
+                double cost = base + delay + left / whole;
+                // A replica starts at once only where its image is: what has few others is taken
+                // first, so that the room that is left suits whatever comes next.
+                if (lasts) cost += richness * room_.warmth(i);
                 if (cost < bestCost) {
                     bestCost = cost;
                     best = i;
                 }
-                return true;
+                return !lasts || ++looked >= replicaLooks;
             });
         };
         const double fetch = fetchTime(s, type);
--- a/src/scheduler/room.cpp
+++ b/src/scheduler/room.cpp
@@ -127,6 +127,16 @@
     return true;
 }
 
+double Room::warmth(MachineIndex machine) const {
+    const Offer* o = of(machine);
+    std::size_t wanted = 0, here = 0;
+    for (const auto& [name, w] : warm_) {
+        wanted += w.jobs.size();
+        for (const auto& image : o->images) here += w.jobs.contains(image) ? 1 : 0;
+    }
+    return wanted == 0 ? 0.0 : static_cast<double>(here) / static_cast<double>(wanted);
+}
+
 Room Room::recount() const {
     Room plain;
     for (const auto& [name, w] : warm_)
--- a/src/scheduler/room.h
+++ b/src/scheduler/room.h
@@ -104,6 +104,9 @@
     /// Whether work of this rank may take that much there and leave enough places warm.
     [[nodiscard]] bool staysWarm(MachineIndex machine, const Demand& taken, Priority rank) const;
 
+    /// What share of the images that have to stay warm the machine has.
+    [[nodiscard]] double warmth(MachineIndex machine) const;
+
     /// The same counted plainly, from the offers alone.
     [[nodiscard]] Room recount() const;
     [[nodiscard]] bool agrees(const Room& other) const {
