While a leader reaches the state service over a peer, no write waits for its own way

Excluded: the peers' relay itself, which takes milliseconds. Change: once the own way has failed, requests go over a peer until a question beside them finds that the own way works; if the peers do not reach the service either, the own way is tried as before.

--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -14,7 +14,7 @@
 
 constexpr Duration patience = 1500ms;
 constexpr Duration relayPatience = 700ms;
-constexpr Duration avoidDirect = 2s;
+constexpr Duration probeEvery = 2s;  // of the own way while requests go over a peer
 
 Verdict verdictOf(const http::Outcome& o) {
     if (!o.answered) return o.sent ? Verdict::unknown : Verdict::refused;
@@ -60,18 +60,21 @@
 Task<http::Outcome> Client::send(http::Request request, Duration wait, Scope& scope) {
     // A refusal that only this node gets, or a cut that only it suffers, looks like an outage:
     // a peer may still reach the service.
-    const bool tryDirect = !relay_ || loop_.now() >= directBadUntil_;
     http::Outcome first;
-    if (tryDirect) {
+    if (!relay_ || !directBad_) {
         http::Request copy = request;
         first = co_await direct(std::move(copy), wait, scope);
         const bool served = first.answered && first.response.status != 503;
         if (served || !relay_ || scope.cancelled()) co_return first;
-        directBadUntil_ = loop_.now() + avoidDirect;
+        directBad_ = true;
+        nextProbe_ = loop_.now() + probeEvery;
+    } else if (loop_.now() >= nextProbe_ && !probing_) {
+        probing_ = true;
+        scope.spawn(probe(scope));
     }
     auto relayed = co_await relay_(std::move(request), std::min(wait, relayPatience), scope);
     if (!relayed.answered) {
-        directBadUntil_ = TimePoint{};
+        directBad_ = false;
         // It may have been executed by either way.
         relayed.sent = relayed.sent || (first.sent && !first.answered);
         if (first.answered && !relayed.sent) co_return first;
@@ -79,6 +82,14 @@
     co_return relayed;
 }
 
+Task<void> Client::probe(Scope& scope) {
+    http::Request question{"GET", "/keys/lead/token", ""};
+    const auto o = co_await direct(std::move(question), patience, scope);
+    if (o.answered && o.response.status != 503) directBad_ = false;
+    nextProbe_ = loop_.now() + probeEvery;
+    probing_ = false;
+}
+
 Task<http::Outcome> Client::direct(http::Request request, Duration wait, Scope& scope) {
     while (!requests_.take(loop_.now())) {
         const Wake woke = co_await loop_.sleep(requests_.until(loop_.now()), scope);
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -78,11 +78,16 @@
 
   private:
     Task<http::Outcome> send(http::Request request, Duration patience, Scope& scope);
+    Task<void> probe(Scope& scope);
     Loop& loop_;
     http::Client http_;
     Budget requests_, writes_;
     Relay relay_;
-    TimePoint directBadUntil_{};
+    /// Requests go over a peer. What finds out whether the own way works again is a question that
+    /// nothing depends on: tried with writes, each third one of a leader that was cut off from the
+    /// service alone hung for a second and a half, and the users behind it.
+    bool directBad_ = false, probing_ = false;
+    TimePoint nextProbe_{};
 };
 
 }  // namespace basaltchute::state
