--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -220,8 +220,11 @@
         for (const MachineIndex machine : plan.sweep)
             if (!reach_.cut(cluster_.machines()[machine].zone)) scope_.spawn(ask(machine));
         if (!plan.remove.empty() && leadership_.mayAct()) {
+            const TimePoint asked = loop_.now();
             const bool gone = co_await cloud_.remove(plan.remove, scope_);
             if (scope_.cancelled()) co_return;
+            spdlog::debug("{} machines {}, after {:.2f} s", plan.remove.size(),
+                          gone ? "deleted" : "not deleted", toSeconds(loop_.now() - asked));
             if (gone) {
                 fleet_.removed(plan.remove, loop_.now());
                 kick();
