Delete what nothing uses: learnt run times, a copy of what the node lends itself

Need: the spread of run times was kept but never asked, and what the leader lends to itself was kept twice.

--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -120,7 +120,6 @@
             continue;
         }
         cluster_.expire(loop_.now());
-        lentToSelf_ = lender_.answersEndOf(settings_.node);
         // Beats, touches and users go on between slices of a long pass; a short pause lets one
         // pass serve many beats.
         if (cluster_.worthPlacing() && cluster_.place(loop_.now(), slice)) dirty_ = true;
@@ -352,7 +351,6 @@
     Job* job = cluster_.find(id);
     if (job == nullptr) co_return refuse(404, "no such job");
     cluster_.cancel(*job, loop_.now());
-    lentToSelf_ = lender_.answersEndOf(settings_.node);
     flush();
     const bool told = co_await stands([job] {
         return job->accepted() && (job->cancelled ? job->cancelDurable() : job->doneDurable());
--- a/src/app/reign.h
+++ b/src/app/reign.h
@@ -36,7 +36,7 @@
     /// not loaded. `lends`: every node understands what that means.
     std::optional<loans::Loan> lend(const loans::Question& question, bool lends);
     /// What this node lent to itself: how late it may answer its zone's workers without the right.
-    [[nodiscard]] TimePoint lentToSelf() const { return lentToSelf_; }
+    [[nodiscard]] TimePoint lentToSelf() const { return lender_.answersEndOf(settings_.node); }
     [[nodiscard]] const scheduler::Cluster& cluster() const { return cluster_; }
     [[nodiscard]] std::size_t backlog() const { return writer_.backlog(); }
     [[nodiscard]] http::Response later() const;
@@ -82,7 +82,6 @@
     std::set<MachineIndex> asking_;
     std::function<void()> onLoaded_;
     std::function<bool(const std::string&)> speaks_;
-    TimePoint lentToSelf_{};
     bool loaded_ = false, dirty_ = false;
 };
 
--- a/src/experience/experience.cpp
+++ b/src/experience/experience.cpp
@@ -7,44 +7,16 @@
 Spread boot() {
     return {0.6, 1.5, 20};
 }
-// By the users' protocol: often wrong by half, sometimes by more.
-Spread run() {
-    return {0.5, 2.0, 10};
-}
 
-Spread& at(std::map<std::string, Spread>& all, const std::string& name, Spread (*fresh)()) {
+Spread& at(std::map<std::string, Spread>& all, const std::string& name) {
     const auto it = all.find(name);
-    return it != all.end() ? it->second : all.emplace(name, fresh()).first->second;
-}
-
-void write(json::Out& out, const char* name, const std::map<std::string, Spread>& all) {
-    out.key(name).open();
-    for (const auto& [key, spread] : all) {
-        out.key(key);
-        spread.encode(out);
-    }
-    out.close();
-}
-
-bool read(const json::Value& doc, const char* name, std::map<std::string, Spread>& into,
-          Spread (*fresh)()) {
-    const auto* all = json::find(doc, name);
-    if (all == nullptr || !all->IsObject()) return false;
-    for (const auto& m : all->GetObject())
-        if (!at(into, m.name.GetString(), fresh).decode(m.value)) return false;
-    return true;
+    return it != all.end() ? it->second : all.emplace(name, boot()).first->second;
 }
 }  // namespace
 
 void Experience::came(const std::string& type, Duration took, Duration stated) {
     if (stated <= Duration::zero()) return;
-    at(boots_, type, boot).add(toSeconds(took) / toSeconds(stated));
-    changed_ = true;
-}
-
-void Experience::ran(const std::string& jobClass, Duration ran, Duration estimated) {
-    if (estimated <= Duration::zero()) return;
-    at(runs_, jobClass, run).add(toSeconds(ran) / toSeconds(estimated));
+    at(boots_, type).add(toSeconds(took) / toSeconds(stated));
     changed_ = true;
 }
 
@@ -54,17 +26,15 @@
     return fromSeconds(toSeconds(stated) * factor);
 }
 
-double Experience::runFactor(const std::string& jobClass, double q) const {
-    const auto it = runs_.find(jobClass);
-    return it == runs_.end() ? run().quantile(q) : it->second.quantile(q);
-}
-
 std::string Experience::encode() {
     json::Out out;
     out.open().field("format", 1);
-    write(out, "boots", boots_);
-    write(out, "runs", runs_);
-    out.close();
+    out.key("boots").open();
+    for (const auto& [type, spread] : boots_) {
+        out.key(type);
+        spread.encode(out);
+    }
+    out.close().close();
     changed_ = false;
     return out.text();
 }
@@ -72,12 +42,12 @@
 bool Experience::decode(const std::string& text) {
     const auto doc = json::parse(text);
     if (!doc || !doc->IsObject() || json::count(*doc, "format") != 1) return false;
-    Experience read;
-    if (!experience::read(*doc, "boots", read.boots_, boot) ||
-        !experience::read(*doc, "runs", read.runs_, run))
-        return false;
-    boots_ = std::move(read.boots_);
-    runs_ = std::move(read.runs_);
+    const auto* boots = json::find(*doc, "boots");
+    if (boots == nullptr || !boots->IsObject()) return false;
+    std::map<std::string, Spread> read;
+    for (const auto& m : boots->GetObject())
+        if (!at(read, m.name.GetString()).decode(m.value)) return false;
+    boots_ = std::move(read);
     return true;
 }
 
--- a/src/experience/experience.h
+++ b/src/experience/experience.h
@@ -12,12 +12,8 @@
   public:
     /// A machine of the type came `took` after it was rented, where the catalogue says `stated`.
     void came(const std::string& type, Duration took, Duration stated);
-    /// A task of the class ran for `ran`, where its owner had said `estimated`.
-    void ran(const std::string& jobClass, Duration ran, Duration estimated);
     /// By when a share `q` of the machines of a type is there, measured from the request.
     [[nodiscard]] Duration coming(const std::string& type, Duration stated, double q) const;
-    /// How long a share `q` of the tasks of a class runs at most, for an estimate of one second.
-    [[nodiscard]] double runFactor(const std::string& jobClass, double q) const;
 
     /// Changes since it was last encoded are worth a record.
     [[nodiscard]] bool changed() const { return changed_; }
@@ -26,7 +22,7 @@
     bool decode(const std::string& text);
 
   private:
-    std::map<std::string, Spread> boots_, runs_;
+    std::map<std::string, Spread> boots_;
     bool changed_ = false;
 };
 
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -294,7 +294,6 @@
     if (asked.borrow) {
         m.loan = hooks_.lend(*asked.borrow);
         if (!m.loan) co_return;
-        m.loan->span = std::max(m.loan->span, std::chrono::milliseconds(0));
     } else if (asked.pledge) {
         m.reply = http::Response{hooks_.pledge(*asked.pledge) ? 200 : 409, ""};
     } else {
