A task found after its job was told to be cancelled ends the loans of its zone

Read once more: the books of withdrawals forget a job once nothing of it is anywhere; a charge found later on a machine (a ghost after a take-over) did not bring it back, so that its zone could be lent for two leases although a task was there that must be gone in time. Change: a charge of a cancelled job puts it back. Test: the loans of that zone end at once.

--- a/src/scheduler/cluster.cpp
+++ b/src/scheduler/cluster.cpp
@@ -335,6 +335,9 @@
     chargeCells(c, machine);
     teamUse_[c.job->spec.team] += c.job->spec.demand;
     ++c.job->perZone[m.zone];
+    // Found on a machine after its job was told to be cancelled: its zone may not be lent for
+    // longer than that leaves.
+    if (c.job->cancelled) withdrawn_.insert(c.job);
     m.charges.push_back(std::move(c));
     changed(machine);
     attendAt(machine, m.leaseEnd);
--- a/src/scheduler/cluster_test.cpp
+++ b/src/scheduler/cluster_test.cpp
@@ -253,6 +253,24 @@
     EXPECT_TRUE(job.cancelDurable());
 }
 
+TEST_F(ClusterTest, ATaskFoundAfterItsJobWasToldToBeCancelledEndsTheLoansOfItsZone) {
+    const loans::Terms terms = loans::Terms::of(settings);
+    loans::Lender lender(terms, 1, {"rig-0", "b"}, 1h, {{"rig-1", "a"}}, clock.now());
+    Worker w("n-1");
+    exchange(w);
+    Job& job = submit(testing::spec("run-1"));
+    cluster->cancel(job, clock.now());
+    commit();
+    cluster->told(job, clock.now());
+    cluster->setLender(lender);
+    cluster->expire(clock.now());
+    EXPECT_EQ(cluster->loanCap("a", clock.now()), TimePoint::max()) << "nothing of it is anywhere";
+    clock.advance(1h);
+    w.report.tasks.push_back({"run-1", 0, 1, TaskStatus::running, ExitCause::other, false});
+    beat(w);
+    EXPECT_LT(cluster->loanCap("a", clock.now()), clock.now());
+}
+
 TEST_F(ClusterTest, ASilentMachinesTasksStayWhereAHolderMayHaveAnsweredForTheLeader) {
     const loans::Terms terms = loans::Terms::of(settings);
     loans::Lender lender(terms, 1, {"rig-0", "b"}, 1h, {{"rig-1", "a"}}, clock.now());
