--- a/src/gateway/app/gateway.h
+++ b/src/gateway/app/gateway.h
@@ -62,6 +62,7 @@
     Settings settings_;
     Scope scope_;
     state::Client state_;
+    Turnstile turnstile_;
     Controllers controllers_;
     Refs refs_;
     Counters counters_;
--- a/src/gateway/custody/tenure.cpp
+++ b/src/gateway/custody/tenure.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <cmath>
 
 #include "json/json.h"
 
@@ -15,6 +16,9 @@
 namespace {
 
 constexpr std::size_t flightWindow = 16;  // replies without disposition, to one address
+// Custody goes before results by so much: where writes are scarce, one of them then stands for
+// more results.
+constexpr Duration resultSlack = 3s;
 constexpr std::size_t pollsAtOnce = 16;
 constexpr Duration laneRest = 1s;  // after a receiver has given a reply back
 constexpr Duration windDownPatience = 12s;
@@ -56,7 +60,12 @@
                    committed_.notify();
                    pump();
                },
-               [] {}, [this] { services_.fenced(queue_.name); }}),
+               [] {}, [this] { services_.fenced(queue_.name); },
+               [this](state::Urgency urgency, double available) {
+                   const Duration slack =
+                       urgency == state::Urgency::users ? Duration::zero() : resultSlack;
+                   return services_.turnstile.pass(serial_, slack, available);
+               }}),
       pace_(services.settings.limits.credit),
       committed_(loop_),
       freed_(loop_),
@@ -171,7 +180,8 @@
     while (!scope_.cancelled()) {
         co_await loop_.sleep(1s, scope_);
         if (scope_.cancelled()) co_return;
-        pace_.observe(oldest(), services_.settings.limits.age);
+        // A message waits for a write at least, however few there are: one write carries them all.
+        pace_.observe(oldest(), services_.settings.limits.age + 2 * round_);
         refillAll();
         pump();
     }
@@ -253,12 +263,11 @@
         co_return rejected(failedBefore, "its id stands for a message with another body");
     if (known != nullptr && known->stage != Stage::entered) {
         ++services_.counters.duplicates;
-        const bool refused = known->stage == Stage::refused;
+        if (known->stage != Stage::refused) co_return Disposition{Outcome::accepted, {}, false};
         const std::string why = known->why;
         const bool stands = co_await standing(key);
         if (!stands) co_return released();
-        if (refused) co_return rejected(invalidField, why);
-        co_return Disposition{Outcome::accepted, {}, false};
+        co_return rejected(invalidField, why);
     }
     if (closing_) co_return released();
 
@@ -288,7 +297,9 @@
             e.forget = forgetAt();
         });
     }
+    const TimePoint asked = loop_.now();
     const bool entered = co_await standing(key);
+    round_ += (loop_.now() - asked - round_) / 8;
     if (!entered || !services_.holds(queue_.name)) co_return released();
 
     std::string text = submission(p, p.entry.ref);
@@ -306,16 +317,18 @@
             e.forget = forgetAt();
         });
     } else if (open) {
-        change(key, state::Urgency::users, [](Entry& e) {
+        // Custody has passed already: the ref stands here and the job with the controllers, so
+        // that whoever owns the queue next finds it by a poll. This note of it takes its time.
+        change(key, state::Urgency::rest, [](Entry& e) {
             e.stage = Stage::accepted;
             e.forget = WallMillis(0);
         });
         pollLater(key, services_.settings.limits.poll);
     }
+    if (!refuse) co_return Disposition{Outcome::accepted, {}, false};
     const bool stands = co_await standing(key);
     if (!stands) co_return released();
-    if (refuse) co_return rejected(invalidField, answer.text);
-    co_return Disposition{Outcome::accepted, {}, false};
+    co_return rejected(invalidField, answer.text);
 }
 
 Task<bool> Tenure::standing(std::string key) {
@@ -544,16 +557,13 @@
                           gone.unsent);
         }
         auto records = book_.closing();
-        if (records.size() > services_.settings.state.txnOps)
-            records.resize(services_.settings.state.txnOps);
         if (records.empty()) continue;
-        const auto n = static_cast<double>(records.size());
-        if (services_.state.writes().available(loop_.now()) < n) {
-            records.resize(1);
-            if (!services_.state.writes().take(loop_.now())) continue;
-        } else {
-            services_.state.writes().take(loop_.now(), n);
-        }
+        const auto most = std::min(static_cast<double>(services_.settings.state.txnOps),
+                                   std::floor(services_.state.writes().burst()));
+        records.resize(std::min(records.size(), static_cast<std::size_t>(most)));
+        const bool may =
+            co_await services_.turnstile.take(static_cast<double>(records.size()), scope_);
+        if (!may) co_return;
         state::Transaction txn;
         txn.guards = {fence_};
         txn.deletes = records;
--- a/src/gateway/custody/tenure.h
+++ b/src/gateway/custody/tenure.h
@@ -12,6 +12,7 @@
 #include "gateway/custody/counters.h"
 #include "gateway/custody/pace.h"
 #include "gateway/custody/prepare.h"
+#include "gateway/custody/turnstile.h"
 #include "gateway/ledger/book.h"
 #include "gateway/ledger/refs.h"
 
@@ -41,6 +42,7 @@
     Controllers& controllers;
     Refs& refs;
     Counters& counters;
+    Turnstile& turnstile;
     std::function<bool(const QueueName&)> holds;   // by the clock, now
     std::function<void(const QueueName&)> fenced;  // a write met another owner's fence
     std::function<std::optional<Outlet>(const std::string& origin, const std::string& replyTo)>
@@ -138,6 +140,7 @@
     Book book_;
     state::Writer writer_;
     Pace pace_;
+    Duration round_{};  // that an entry lately took to stand
     bool ready_ = false, closing_ = false;
     Event committed_, freed_, polled_;
     std::map<Place, Inlet> inlets_;
--- a/src/gateway/ledger/book.cpp
+++ b/src/gateway/ledger/book.cpp
@@ -11,10 +11,10 @@
 
 constexpr std::array<const char*, 5> stageNames{"entered", "refused", "accepted", "final",
                                                 "replied"};
-// What the fields that change may add to an entry after it was given its place: stage, status, the
-// reason of a refusal, number, attempts, time, and the names of all members.
-constexpr std::size_t growth = 320;
-constexpr std::size_t longestWhy = 100;
+// What an entry takes beside its texts, and what the fields that change may add after it was given
+// its place: stage, status or the reason of a refusal, number, attempts, time, names of members.
+constexpr std::size_t growth = 270;
+constexpr std::size_t longestWhy = 60;
 constexpr std::size_t frame = 32;     // of a page around its entries
 constexpr std::size_t openPages = 2;  // the newest ones, which still take entries
 
--- a/src/gateway/ledger/refs.cpp
+++ b/src/gateway/ledger/refs.cpp
@@ -15,8 +15,8 @@
 constexpr std::size_t width = 6;  // digits, at least
 }  // namespace
 
-Refs::Refs(Loop& loop, state::Client& client, const Settings& settings)
-    : loop_(loop), client_(client), settings_(settings), reserved_(loop) {}
+Refs::Refs(Loop& loop, state::Client& client, Turnstile& turnstile, const Settings& settings)
+    : loop_(loop), client_(client), turnstile_(turnstile), settings_(settings), reserved_(loop) {}
 
 Task<bool> Refs::reserve(Scope& scope) {
     const std::string key = settings_.statePrefix + "refs";
@@ -40,10 +40,8 @@
         spdlog::error("the range of refs is used up: widen \"refs\" in the settings");
         co_return false;
     }
-    while (!client_.writes().take(loop_.now())) {
-        const Wake woke = co_await loop_.sleep(client_.writes().until(loop_.now()), scope);
-        if (woke == Wake::cancelled) co_return false;
-    }
+    const bool may = co_await turnstile_.take(1, scope);
+    if (!may) co_return false;
     json::Out out;
     out.open().field("next", to).close();
     state::Transaction txn;
--- a/src/gateway/ledger/refs.h
+++ b/src/gateway/ledger/refs.h
@@ -2,6 +2,7 @@
 #include <optional>
 #include <string>
 
+#include "gateway/custody/turnstile.h"
 #include "gateway/settings/settings.h"
 #include "state/client.h"
 
@@ -11,7 +12,7 @@
 /// that no two instances hand out the same ref; what a killed instance had left is never used.
 class Refs {
   public:
-    Refs(Loop& loop, state::Client& client, const Settings& settings);
+    Refs(Loop& loop, state::Client& client, Turnstile& turnstile, const Settings& settings);
     /// Nothing if the state service does not answer, or the range is used up.
     Task<std::optional<std::string>> next(Scope& scope);
     [[nodiscard]] std::uint64_t left() const { return end_ - next_; }
@@ -20,6 +21,7 @@
     Task<bool> reserve(Scope& scope);
     Loop& loop_;
     state::Client& client_;
+    Turnstile& turnstile_;
     const Settings& settings_;
     std::uint64_t next_ = 0, end_ = 0;
     bool reserving_ = false;
--- a/src/gateway/members/members.cpp
+++ b/src/gateway/members/members.cpp
@@ -56,10 +56,11 @@
     return best;
 }
 
-Members::Members(Loop& loop, state::Client& client, const Settings& settings,
+Members::Members(Loop& loop, state::Client& client, Turnstile& turnstile, const Settings& settings,
                  std::string incarnation, Hooks hooks)
     : loop_(loop),
       client_(client),
+      turnstile_(turnstile),
       settings_(settings),
       incarnation_(std::move(incarnation)),
       hooks_(std::move(hooks)),
@@ -101,14 +102,6 @@
     return nullptr;
 }
 
-Task<bool> Members::budget(double n, Scope& scope) {
-    while (!client_.writes().take(loop_.now(), n)) {
-        const Wake woke = co_await loop_.sleep(client_.writes().until(loop_.now(), n), scope);
-        if (woke == Wake::cancelled) co_return false;
-    }
-    co_return true;
-}
-
 void Members::lose(const QueueName& queue) {
     if (held_.erase(queue) == 0) return;
     spdlog::warn("queue {}: no longer held by this instance", queue);
@@ -126,7 +119,7 @@
 }
 
 Task<bool> Members::enlist(Scope& scope) {
-    const bool may = co_await budget(1, scope);
+    const bool may = co_await turnstile_.take(1, scope);
     if (!may) co_return false;
     const bool said = draining_;
     state::Transaction txn;
@@ -250,7 +243,7 @@
 }
 
 Task<void> Members::claim(QueueName queue, Scope& scope) {
-    const bool may = co_await budget(1, scope);
+    const bool may = co_await turnstile_.take(1, scope);
     json::Out out;
     out.open().field("incarnation", incarnation_).field("instance", settings_.instance).close();
     state::Transaction txn;
@@ -278,7 +271,7 @@
     while (!scope.cancelled()) {
         const auto held = held_.find(queue);
         if (held == held_.end() || held->second.revision != revision) co_return;
-        const bool may = co_await budget(1, scope);
+        const bool may = co_await turnstile_.take(1, scope);
         if (!may) co_return;
         state::Transaction txn;
         txn.guards = {{queueKey(queue), revision}};
--- a/src/gateway/members/members.h
+++ b/src/gateway/members/members.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "gateway/custody/turnstile.h"
 #include "gateway/settings/settings.h"
 #include "state/client.h"
 
@@ -36,8 +37,8 @@
         /// Somebody's ownership has changed.
         std::function<void()> changed;
     };
-    Members(Loop& loop, state::Client& client, const Settings& settings, std::string incarnation,
-            Hooks hooks);
+    Members(Loop& loop, state::Client& client, Turnstile& turnstile, const Settings& settings,
+            std::string incarnation, Hooks hooks);
     void start(Scope& scope);
     /// Whether this instance may act as the queue's owner, by its own clock.
     [[nodiscard]] bool holds(const QueueName& queue) const;
@@ -70,12 +71,12 @@
     void act(state::Revision at, Scope& scope);
     Task<void> claim(QueueName queue, Scope& scope);
     Task<void> giveAway(QueueName queue, Scope& scope);
-    Task<bool> budget(double n, Scope& scope);
     void lose(const QueueName& queue);
     void loseAll();
 
     Loop& loop_;
     state::Client& client_;
+    Turnstile& turnstile_;
     const Settings& settings_;
     std::string incarnation_;
     Hooks hooks_;
--- a/src/gateway/members/members_test.cpp
+++ b/src/gateway/members/members_test.cpp
@@ -4,6 +4,8 @@
 
 #include "gateway/custody/pace.h"
 #include "gateway/custody/turns.h"
+#include "gateway/custody/turnstile.h"
+#include "testing/world.h"
 
 namespace basaltchute::gateway {
 namespace {
@@ -50,6 +52,41 @@
     EXPECT_EQ(order, (std::vector<int>{0, 10, 20, 1, 2, 3, 4}));
 }
 
+TEST(Turnstile, EachPassesInItsTurnAndWhoHasGoneHoldsUpNobody) {
+    basaltchute::testing::World world;
+    Budget writes(1, 1, world.clock.now());
+    Turnstile t(world.loop, writes);
+    EXPECT_FALSE(t.pass(1, 0s, 0.5));
+    EXPECT_FALSE(t.pass(2, 0s, 1)) << "the first one waits for the budget";
+    EXPECT_TRUE(t.pass(2, 0s, 2)) << "which has enough for both";
+    EXPECT_FALSE(t.pass(2, 0s, 1));
+    EXPECT_TRUE(t.pass(1, 0s, 1));
+    EXPECT_FALSE(t.pass(1, 0s, 1)) << "once a turn";
+    EXPECT_TRUE(t.pass(2, 0s, 1));
+    world.run(1s);
+    EXPECT_TRUE(t.pass(2, 0s, 1)) << "the other one no longer asks";
+    EXPECT_FALSE(t.pass(4, 3s, 0.5));
+    EXPECT_TRUE(t.pass(5, 0s, 1)) << "what is due at once goes before what may wait";
+    // A ledger that is always ready to write leaves room for a claim.
+    writes.take(world.clock.now());
+    bool claimed = false;
+    world.scope.spawn([](Turnstile& turnstile, Scope& scope, bool& flag) -> Task<void> {
+        flag = co_await turnstile.take(1, scope);
+    }(t, world.scope, claimed));
+    int passed = 0;
+    EXPECT_TRUE(world.until(
+        [&] {
+            if (t.pass(3, 0s, writes.available(world.clock.now()))) {
+                writes.take(world.clock.now());
+                ++passed;
+            }
+            return claimed;
+        },
+        3s));
+    EXPECT_EQ(passed, 0);
+    world.end(world.scope);
+}
+
 TEST(Pace, HalvesWhileMessagesWaitLongAndComesBackInSteps) {
     Pace p(64);
     for (int i = 0; i < 10; ++i) p.observe(5s, 2s);
--- a/src/gateway/testing/broker.cpp
+++ b/src/gateway/testing/broker.cpp
@@ -154,14 +154,21 @@
     for (const auto& s : sessions_) s->connection->cut();
 }
 
-JobService::JobService(Loop& loop, Scope& scope)
+JobService::JobService(Loop& loop, Scope& scope, const std::string& address)
     : loop_(loop),
       scope_(scope),
-      server_(loop, "127.0.0.1:0", http::ServerLimits{5000},
+      server_(loop, address, http::ServerLimits{5000},
               [this](http::Request r) { return handle(std::move(r)); }) {
     server_.start(scope);
 }
 
+void JobService::alsoAt(const std::string& address) {
+    others_.push_back(
+        std::make_unique<http::Server>(loop_, address, http::ServerLimits{5000},
+                                       [this](http::Request r) { return handle(std::move(r)); }));
+    others_.back()->start(scope_);
+}
+
 Task<http::Response> JobService::handle(http::Request r) {
     const Fault f = fault ? fault(r) : Fault::none;
     if (f == Fault::refused) co_return http::Response{503, "{}", 1};
@@ -174,6 +181,13 @@
 http::Response JobService::serve(const http::Request& r) {
     const std::string path = "/v1/jobs";
     json::Out out;
+    if (r.target == "/jobs") {  // for whoever checks: how many jobs each message became
+        out.open();
+        for (const auto& [marker, refs] : refsOf)
+            out.field(marker, static_cast<std::uint64_t>(refs.size()));
+        out.close();
+        return {200, out.text()};
+    }
     if (r.method == "POST" && r.target == path) {
         const auto doc = json::parse(r.body);
         const auto ref = doc ? json::string(*doc, "ref") : std::nullopt;
--- a/src/gateway/testing/broker.h
+++ b/src/gateway/testing/broker.h
@@ -51,8 +51,10 @@
 /// Accepts jobs and ends them after a while. A job's `build` says which message it came from.
 class JobService {
   public:
-    JobService(Loop& loop, Scope& scope);
+    JobService(Loop& loop, Scope& scope, const std::string& address = "127.0.0.1:0");
     [[nodiscard]] std::string address() const { return server_.address(); }
+    /// Serves the same jobs at one more address, as another controller does.
+    void alsoAt(const std::string& address);
 
     struct Job {
         std::string marker, body;
@@ -72,6 +74,7 @@
     Loop& loop_;
     Scope& scope_;
     http::Server server_;
+    std::vector<std::unique_ptr<http::Server>> others_;
 };
 
 }  // namespace basaltchute::gateway::testing
--- a/src/testing/world.h
+++ b/src/testing/world.h
@@ -31,7 +31,9 @@
 
 class StateService {
   public:
-    explicit StateService(World& world);
+    explicit StateService(World& world) : StateService(world.loop, world.scope) {}
+    /// On any clock; routines belong to `scope`.
+    StateService(Loop& loop, Scope& scope, const std::string& address = "127.0.0.1:0");
     [[nodiscard]] std::string address() const { return server_.address(); }
     struct Entry {
         std::string data;
@@ -61,7 +63,8 @@
     Task<http::Response> watch(std::string target);
     void expire();
     void erase(const std::string& key);
-    World& world_;
+    Loop& loop_;
+    Scope& scope_;
     http::Server server_;
     Event changed_;
     std::uint64_t epoch_ = 1, nextGrant_ = 1, erasedAt_ = 0, oldest_ = 0;
--- a/src/testing/world_test.cpp
+++ b/src/testing/world_test.cpp
@@ -70,12 +70,12 @@
 }
 }  // namespace
 
-StateService::StateService(World& world)
-    : world_(world),
-      server_(world.loop, "127.0.0.1:0", {},
-              [this](http::Request r) { return handle(std::move(r)); }),
-      changed_(world.loop) {
-    server_.start(world.scope);
+StateService::StateService(Loop& loop, Scope& scope, const std::string& address)
+    : loop_(loop),
+      scope_(scope),
+      server_(loop, address, {}, [this](http::Request r) { return handle(std::move(r)); }),
+      changed_(loop) {
+    server_.start(scope);
 }
 
 void StateService::erase(const std::string& key) {
@@ -97,8 +97,8 @@
 void StateService::expire() {
     std::vector<std::uint64_t> ended;
     for (auto& [id, g] : grants_) {
-        if (down) g.end = world_.clock.now() + g.life;  // full time again after an outage
-        if (g.end < world_.clock.now()) ended.push_back(id);
+        if (down) g.end = loop_.now() + g.life;  // full time again after an outage
+        if (g.end < loop_.now()) ended.push_back(id);
     }
     for (const auto id : ended) forgetGrant(id);
 }
@@ -144,15 +144,14 @@
     if (after < oldest_) co_return http::Response{410, "{}"};
     const std::string prefix = param(target, "under");
     const TimePoint until =
-        world_.clock.now() + std::chrono::milliseconds(std::stol(param(target, "waitMs")));
+        loop_.now() + std::chrono::milliseconds(std::stol(param(target, "waitMs")));
     const auto changed = [&] {
         return erasedAt_ > after || std::any_of(keys.begin(), keys.end(), [&](const auto& k) {
                    return k.first.starts_with(prefix) && k.second.stamp > after;
                });
     };
-    while (world_.clock.now() < until && (down || !changed()) && !world_.scope.cancelled()) {
-        co_await world_.loop.wait(changed_, std::min(until, world_.clock.now() + 50ms),
-                                  world_.scope);
+    while (loop_.now() < until && (down || !changed()) && !scope_.cancelled()) {
+        co_await loop_.wait(changed_, std::min(until, loop_.now() + 50ms), scope_);
         expire();
     }
     co_return http::Response{200, R"({"epoch":1,"log":[]})"};
@@ -161,11 +160,10 @@
 Task<http::Response> StateService::handle(http::Request r) {
     const Fault f = fault ? fault(r) : Fault{};
     if (f.kind == Fault::Kind::refused) co_return http::Response{503, R"({"error":"trouble"})"};
-    if (f.kind == Fault::Kind::late) co_await world_.loop.sleep(f.late, world_.scope);
+    if (f.kind == Fault::Kind::late) co_await loop_.sleep(f.late, scope_);
     auto response = co_await serve(std::move(r));
     // Whoever asked has given up long before.
-    if (f.kind != Fault::Kind::none)
-        co_await world_.loop.sleep(std::chrono::minutes(1), world_.scope);
+    if (f.kind != Fault::Kind::none) co_await loop_.sleep(std::chrono::minutes(1), scope_);
     co_return response;
 }
 
@@ -181,7 +179,7 @@
     if (r.target == "/grants") {
         const auto doc = json::parse(r.body);
         const Duration life = std::chrono::milliseconds((*doc)["lifeMs"].GetInt64());
-        grants_[nextGrant_] = {life, world_.clock.now() + life};
+        grants_[nextGrant_] = {life, loop_.now() + life};
         out.open().field("hold", nextGrant_++).close();
         co_return http::Response{200, out.text()};
     }
@@ -189,7 +187,7 @@
         const auto id = std::stoull(r.target.substr(8));
         if (!grants_.contains(id)) co_return http::Response{404, "{}"};
         if (r.method == "DELETE") co_return forgetGrant(id);
-        grants_[id].end = world_.clock.now() + grants_[id].life;
+        grants_[id].end = loop_.now() + grants_[id].life;
         co_return http::Response{200, "{}"};
     }
     if (r.target.starts_with("/keys?")) {
