--- a/tools/gateway_load.cpp
+++ b/tools/gateway_load.cpp
@@ -88,7 +88,7 @@
     }
 
   private:
-    static unsigned basePort() { return 20000 + static_cast<unsigned>(::getpid()) % 20000; }
+    static unsigned basePort() { return 20000 + static_cast<unsigned>(::getpid()) % 400 * 100; }
     std::string port_;
     pid_t pid_ = 0;
 };
