Clean-up after the gateway: one log set-up, one JSON text, no dead members

Need: the two programs set up their log by the same ten lines, a JSON value became text in four places, the storm listed its faults three times, and some members were never used.

Change: runtime/log, json::text, faults by name; removeInlet, inlets, container, unsettled, mostCredit and others deleted.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,13 +1,12 @@
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
 #include <CLI/CLI.hpp>
 #include <csignal>
-#include <cstdlib>
 #include <iostream>
 #include <random>
 
 #include "app/controller.h"
+#include "runtime/log.h"
 
 namespace {
 
@@ -17,14 +16,6 @@
     endRequested = 1;
 }
 
-void setUpLog() {
-    auto logger = spdlog::stderr_logger_st("basaltchute");
-    logger->set_pattern("%L %v");
-    spdlog::set_default_logger(logger);
-    const char* level = std::getenv("LOG_LEVEL");
-    spdlog::set_level(level != nullptr ? spdlog::level::from_str(level) : spdlog::level::info);
-}
-
 basaltchute::Task<void> waitForEnd(basaltchute::Loop& loop, basaltchute::Scope& scope,
                                    basaltchute::app::Controller& controller) {
     while (endRequested == 0) {
@@ -53,7 +44,7 @@
         std::cerr << cli.help();
         return 2;
     }
-    setUpLog();
+    basaltchute::setUpLog("basaltchute");
     const std::string path = config.empty() ? check : config;
     auto loaded = settings::load(path);
     if (const auto* error = std::get_if<settings::Error>(&loaded)) {
--- a/src/gateway/amqp/connection.cpp
+++ b/src/gateway/amqp/connection.cpp
@@ -16,8 +16,6 @@
 
 namespace {
 
-constexpr std::size_t readBytes = 64 * 1024;
-
 std::string textOf(const char* s) {
     return s == nullptr ? "" : s;
 }
@@ -166,9 +164,6 @@
 std::string Connection::user() const {
     return options_.identity.named;
 }
-std::string Connection::container() const {
-    return textOf(pn_connection_remote_container(engine_->driver.connection));
-}
 
 pn_link_t* Connection::link(LinkId id) const {
     const auto it = links_.find(id);
--- a/src/gateway/amqp/connection.h
+++ b/src/gateway/amqp/connection.h
@@ -47,9 +47,8 @@
     Duration stall = std::chrono::seconds(20);  // that a peer may leave our bytes unread
     std::size_t frameBytes = 64 * 1024;
     std::size_t messageBytes =
-        64 * 1024;                    // larger messages are dropped as they come, then reported
-    std::size_t links = 256;          // of one connection
-    std::uint32_t mostCredit = 4096;  // deliveries under way on one link, credit included
+        64 * 1024;            // larger messages are dropped as they come, then reported
+    std::size_t links = 256;  // of one connection
 };
 
 class Connection;
@@ -103,7 +102,6 @@
     [[nodiscard]] bool over() const { return over_; }
     /// Who the other side has proved to be, on the listening side, once opened.
     [[nodiscard]] std::string user() const;
-    [[nodiscard]] std::string container() const;
 
     LinkId receiveFrom(const std::string& source, const std::string& name);
     LinkId sendTo(const std::string& target, const std::string& name);
@@ -119,7 +117,6 @@
     /// False without credit or link. `tag`: at most 32 bytes (part 2, 2.6.12).
     bool send(LinkId id, const std::string& bytes, const std::string& tag);
     void settle(DeliveryId id, const Disposition& disposition);
-    [[nodiscard]] std::size_t unsettled() const { return deliveries_.size(); }
 
   private:
     struct Engine;
--- a/src/gateway/app/consumer.cpp
+++ b/src/gateway/app/consumer.cpp
@@ -125,7 +125,7 @@
         // Its own name for each tenure: a broker may remember a link by its name.
         const std::string link =
             settings_.instance + '/' + queue + '/' + std::to_string(here->serial());
-        receivers_[connection_->receiveFrom(from, link)] = {queue, std::move(here), false};
+        receivers_[connection_->receiveFrom(from, link)] = {queue, std::move(here)};
     }
 }
 
@@ -148,7 +148,6 @@
 
 void Consumer::confirmed(amqp::Connection& c, amqp::LinkId id) {
     if (const auto it = receivers_.find(id); it != receivers_.end()) {
-        it->second.confirmed = true;
         it->second.tenure->addInlet(c.shared_from_this(), id, source_.name);
     } else if (const auto to = senders_.find(id); to != senders_.end()) {
         to->second.confirmed = true;
@@ -166,9 +165,9 @@
                                        std::move(broken), loop_.now()});
 }
 
-void Consumer::decided(amqp::Connection& c, amqp::LinkId id, const std::string& tag,
+void Consumer::decided(amqp::Connection&, amqp::LinkId, const std::string& tag,
                        amqp::Disposition d) {
-    hooks_.decided(c, id, tag, d);
+    hooks_.decided(tag, d);
 }
 
 void Consumer::credited(amqp::Connection&, amqp::LinkId id) {
--- a/src/gateway/app/consumer.h
+++ b/src/gateway/app/consumer.h
@@ -22,7 +22,6 @@
     [[nodiscard]] std::optional<Outlet> outlet(const std::string& replyTo);
     [[nodiscard]] const std::string& name() const { return source_.name; }
     [[nodiscard]] bool connected() const { return open_; }
-    [[nodiscard]] std::size_t inlets() const { return receivers_.size(); }
 
     void opened(amqp::Connection& c) override;
     void confirmed(amqp::Connection& c, amqp::LinkId id) override;
@@ -38,7 +37,6 @@
     struct Receiver {
         QueueName queue;
         std::shared_ptr<Tenure> tenure;
-        bool confirmed = false;
     };
     struct Sender {
         std::string address;
--- a/src/gateway/app/front.cpp
+++ b/src/gateway/app/front.cpp
@@ -2,8 +2,6 @@
 
 #include <spdlog/spdlog.h>
 
-#include <algorithm>
-
 namespace basaltchute::gateway {
 
 namespace {
@@ -59,9 +57,9 @@
         front_.hooks_.arrived(it->second.tenure, {connection, id, delivery, std::move(message),
                                                   std::move(broken), front_.loop_.now()});
     }
-    void decided(amqp::Connection& c, amqp::LinkId id, const std::string& tag,
+    void decided(amqp::Connection&, amqp::LinkId, const std::string& tag,
                  amqp::Disposition d) override {
-        front_.hooks_.decided(c, id, tag, d);
+        front_.hooks_.decided(tag, d);
     }
     void credited(amqp::Connection&, amqp::LinkId id) override {
         if (const auto it = links_.find(id); it != links_.end())
@@ -80,11 +78,6 @@
         for (const auto id : ids)
             if (const auto it = links_.find(id); it != links_.end()) settle(id, it->second);
     }
-    [[nodiscard]] std::size_t inlets() const {
-        return static_cast<std::size_t>(std::count_if(links_.begin(), links_.end(), [](auto& l) {
-            return l.second.theySend && l.second.tenure;
-        }));
-    }
 
   private:
     struct Link {
@@ -223,10 +216,4 @@
     return Outlet{session->connection, link};
 }
 
-std::size_t Front::inlets() const {
-    std::size_t n = 0;
-    for (const auto& s : sessions_) n += s->inlets();
-    return n;
-}
-
 }  // namespace basaltchute::gateway
--- a/src/gateway/app/front.h
+++ b/src/gateway/app/front.h
@@ -25,9 +25,7 @@
     struct Hooks {
         std::function<Route(const QueueName&)> route;
         std::function<void(const std::shared_ptr<Tenure>&, Arrival)> arrived;
-        std::function<void(const amqp::Connection&, amqp::LinkId, const std::string& tag,
-                           const amqp::Disposition&)>
-            decided;
+        std::function<void(const std::string& tag, const amqp::Disposition&)> decided;
         std::function<void(const amqp::Connection&, amqp::LinkId)> linkGone;
         std::function<void(const QueueName&)> credited;
     };
@@ -43,7 +41,6 @@
     /// A client's link that reads replies at this address.
     [[nodiscard]] std::optional<Outlet> outlet(const std::string& replyTo) const;
     [[nodiscard]] std::size_t connections() const { return sessions_.size(); }
-    [[nodiscard]] std::size_t inlets() const;
     [[nodiscard]] std::string address() const { return listener_.address(); }
 
   private:
--- a/src/gateway/app/gateway.cpp
+++ b/src/gateway/app/gateway.cpp
@@ -109,8 +109,7 @@
 Front::Hooks Gateway::linkHooks() {
     return {[this](const QueueName& q) { return route(q); },
             [this](const std::shared_ptr<Tenure>& t, Arrival a) { arrived(t, std::move(a)); },
-            [this](const amqp::Connection&, amqp::LinkId, const std::string& tag,
-                   const amqp::Disposition& d) {
+            [this](const std::string& tag, const amqp::Disposition& d) {
                 std::uint64_t serial = 0;
                 std::from_chars(tag.data(), tag.data() + tag.size(), serial);
                 const auto it = bySerial_.find(serial);
--- a/src/gateway/app/main.cpp
+++ b/src/gateway/app/main.cpp
@@ -1,14 +1,13 @@
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
 #include <CLI/CLI.hpp>
 #include <csignal>
-#include <cstdlib>
 #include <iostream>
 #include <random>
 
 #include "gateway/app/cli.h"
 #include "gateway/app/gateway.h"
+#include "runtime/log.h"
 
 namespace {
 
@@ -24,14 +23,6 @@
         endsRequested = endsRequested + 1;
 }
 
-void setUpLog() {
-    auto logger = spdlog::stderr_logger_st("basaltchute-gateway");
-    logger->set_pattern("%L %v");
-    spdlog::set_default_logger(logger);
-    const char* level = std::getenv("LOG_LEVEL");
-    spdlog::set_level(level != nullptr ? spdlog::level::from_str(level) : spdlog::level::info);
-}
-
 /// A first signal drains, a second one ends at once.
 basaltchute::Task<void> watchSignals(basaltchute::Loop& loop, basaltchute::Scope& scope,
                                      gateway::Gateway& instance) {
@@ -58,7 +49,7 @@
         return 2;
     }
     if (checkOnly) return 0;
-    setUpLog();
+    basaltchute::setUpLog("basaltchute-gateway");
     std::signal(SIGTERM, onSignal);
     std::signal(SIGINT, onSignal);
     std::signal(SIGHUP, onSignal);
--- a/src/gateway/custody/prepare.cpp
+++ b/src/gateway/custody/prepare.cpp
@@ -83,10 +83,8 @@
         if (!doc->HasMember(member.name))
             doc->AddMember(json::Value(member.name, memory), json::Value(member.value, memory),
                            memory);
-    rapidjson::StringBuffer text;
-    rapidjson::Writer<rapidjson::StringBuffer> writer(text);
-    doc->Accept(writer);
-    out.job.assign(text.GetString() + 1, text.GetSize() - 2);
+    const std::string text = json::text(*doc);
+    out.job = text.substr(1, text.size() - 2);
     if (out.job.size() + refRoom > largestSubmission)
         return std::string("body: the submission would be larger than 64 KiB");
     return out;
--- a/src/gateway/custody/tenure.cpp
+++ b/src/gateway/custody/tenure.cpp
@@ -151,16 +151,6 @@
     inlets_[place] = {connection, std::move(origin), 0};
     refill(place, inlets_[place]);
 }
-void Tenure::removeInlet(const amqp::Connection& connection, amqp::LinkId link) {
-    inlets_.erase({&connection, link});
-}
-std::vector<Outlet> Tenure::inlets() const {
-    std::vector<Outlet> out;
-    for (const auto& [place, inlet] : inlets_)
-        if (auto c = inlet.connection.lock()) out.push_back({std::move(c), place.second});
-    return out;
-}
-
 void Tenure::refill(const Place& place, Inlet& inlet) {
     const auto c = inlet.connection.lock();
     if (!c || closing_ || !ready_) return;
--- a/src/gateway/custody/tenure.h
+++ b/src/gateway/custody/tenure.h
@@ -71,9 +71,6 @@
 
     void addInlet(const std::shared_ptr<amqp::Connection>& connection, amqp::LinkId link,
                   std::string origin);
-    void removeInlet(const amqp::Connection& connection, amqp::LinkId link);
-    /// Links that messages come on, for whoever ends them.
-    [[nodiscard]] std::vector<Outlet> inlets() const;
     /// Counts the message as under way; `take` must follow.
     void arrived(const Arrival& arrival);
     Task<void> take(Arrival arrival);
--- a/src/gateway/ledger/refs.h
+++ b/src/gateway/ledger/refs.h
@@ -15,7 +15,6 @@
     Refs(Loop& loop, state::Client& client, Turnstile& turnstile, const Settings& settings);
     /// Nothing if the state service does not answer, or the range is used up.
     Task<std::optional<std::string>> next(Scope& scope);
-    [[nodiscard]] std::uint64_t left() const { return end_ - next_; }
 
   private:
     Task<bool> reserve(Scope& scope);
--- a/src/gateway/settings/settings.cpp
+++ b/src/gateway/settings/settings.cpp
@@ -10,13 +10,6 @@
 
 using json::Value;
 
-std::string textOf(const Value& v) {
-    rapidjson::StringBuffer b;
-    rapidjson::Writer<rapidjson::StringBuffer> w(b);
-    v.Accept(w);
-    return {b.GetString(), b.GetSize()};
-}
-
 /// Reads field after field; the first error stands.
 class Reading {
   public:
@@ -123,7 +116,7 @@
             s.jobClass = *json::string(q, "class");
             s.name = s.team + '/' + s.jobClass;
             const auto* job = json::find(q, "job");
-            s.job = job == nullptr ? "{}" : textOf(*job);
+            s.job = job == nullptr ? "{}" : json::text(*job);
             if (job != nullptr)
                 for (const char* own : {"ref", "crew", "category"})
                     if (job->HasMember(own)) fail(at + "/job/" + own, "no such field");
--- a/src/gateway/testing/storm.cpp
+++ b/src/gateway/testing/storm.cpp
@@ -8,39 +8,6 @@
 
 using namespace std::chrono_literals;
 
-std::array<std::pair<const char*, std::uint64_t>, 13> Faults::all() const {
-    return {{{"cuts of all broker connections", cuts},
-             {"instances killed", kills},
-             {"instances drained", drains},
-             {"grants ended under a live owner", grantsEnded},
-             {"outages of the state service", outages},
-             {"state requests refused", stateRefused},
-             {"state requests executed without answer", stateMute},
-             {"state requests executed late", stateLate},
-             {"submissions and polls refused", jobsRefused},
-             {"submissions executed without answer", jobsMute},
-             {"submissions lost without answer", jobsLost},
-             {"times the broker was away", brokerAway},
-             {"replies released by the receiver", repliesReleased}}};
-}
-
-Faults& Faults::operator+=(const Faults& f) {
-    cuts += f.cuts;
-    kills += f.kills;
-    drains += f.drains;
-    grantsEnded += f.grantsEnded;
-    outages += f.outages;
-    stateRefused += f.stateRefused;
-    stateMute += f.stateMute;
-    stateLate += f.stateLate;
-    jobsRefused += f.jobsRefused;
-    jobsMute += f.jobsMute;
-    jobsLost += f.jobsLost;
-    brokerAway += f.brokerAway;
-    repliesReleased += f.repliesReleased;
-    return *this;
-}
-
 namespace {
 
 const std::vector<QueueName> queueNames{"north/replay-verify", "north/split",
@@ -58,7 +25,7 @@
         scene_.broker.judge = [this](const std::string&) {
             if (!raging_ || share() > 0.02)
                 return amqp::Disposition{amqp::Outcome::accepted, {}, false};
-            ++out_.faults.repliesReleased;
+            ++out_.faults["replies released by the receiver"];
             return amqp::Disposition{amqp::Outcome::released, {}, false};
         };
         // At times of their own, and one in eight sent twice by its client.
@@ -128,19 +95,22 @@
         if (!raging_) return Fault::none;
         const double x = share();
         auto& f = out_.faults;
-        if (leaderless_ || x < 0.05) return ++f.jobsRefused, Fault::refused;
+        if (leaderless_ || x < 0.05) return ++f["submissions and polls refused"], Fault::refused;
         if (r.method != "POST" || x > 0.11) return Fault::none;
-        return x < 0.08 ? (++f.jobsMute, Fault::mute) : (++f.jobsLost, Fault::lost);
+        return x < 0.08 ? (++f["submissions executed without answer"], Fault::mute)
+                        : (++f["submissions lost without answer"], Fault::lost);
     }
     basaltchute::testing::StateService::Fault stateFault(const http::Request& r) {
         using Fault = basaltchute::testing::StateService::Fault;
         if (!raging_ || r.target.starts_with("/watch")) return {};
         const double x = share();
         auto& f = out_.faults;
-        if (x < 0.03) return ++f.stateRefused, Fault{Fault::Kind::refused, {}};
+        if (x < 0.03) return ++f["state requests refused"], Fault{Fault::Kind::refused, {}};
         if (r.target != "/multi" || x > 0.07) return {};
-        if (x < 0.05) return ++f.stateMute, Fault{Fault::Kind::mute, {}};
-        return ++f.stateLate, Fault{Fault::Kind::late, fromSeconds(2 + 10 * share())};
+        if (x < 0.05)
+            return ++f["state requests executed without answer"], Fault{Fault::Kind::mute, {}};
+        return ++f["state requests executed late"],
+               Fault{Fault::Kind::late, fromSeconds(2 + 10 * share())};
     }
 
     void fault() {
@@ -148,36 +118,36 @@
         auto& f = out_.faults;
         if (x < 0.25) {
             scene_.broker.cutAll();
-            ++f.cuts;
+            ++f["cuts of all broker connections"];
         } else if (x < 0.32) {
             const std::string victim = "gw-" + std::to_string(1 + random_() % 2);
             if (scene_.instances.contains(victim)) {
                 scene_.kill(victim);
-                ++f.kills;
+                ++f["instances killed"];
             } else {
                 scene_.start(victim);
             }
         } else if (x < 0.36) {
             if (!scene_.instances.empty()) {
                 scene_.instances.begin()->second->drain();
-                ++f.drains;
+                ++f["instances drained"];
             }
         } else if (x < 0.41) {
             // What an owner meets that froze past its grant and wakes.
             for (const auto& [key, entry] : scene_.state.keys)
                 if (key.starts_with("gw/own/member/") && entry.grant != 0) {
                     scene_.state.endGrantOf(std::string(key));
-                    ++f.grantsEnded;
+                    ++f["grants ended under a live owner"];
                     break;
                 }
         } else if (x < 0.45) {
             scene_.state.down = !scene_.state.down;
-            if (scene_.state.down) ++f.outages;
+            if (scene_.state.down) ++f["outages of the state service"];
         } else if (x < 0.50) {
             leaderless_ = !leaderless_;
         } else if (x < 0.54) {
             scene_.broker.refusing = !scene_.broker.refusing;
-            if (scene_.broker.refusing) ++f.brokerAway;
+            if (scene_.broker.refusing) ++f["times the broker was away"];
         }
         for (int i = 1; i <= 2; ++i) {
             const std::string name = "gw-" + std::to_string(i);
@@ -267,7 +237,7 @@
             if (replies[marker] != expected)
                 wrong(marker + " has " + std::to_string(replies[marker]) + " replies");
         }
-        if (out_.releasedThenLater > 0 && out_.faults.repliesReleased == 0)
+        if (out_.releasedThenLater > 0 && !out_.faults.contains("replies released by the receiver"))
             wrong("results out of order");
         for (const auto& [name, g] : scene_.instances)
             for (const auto& q : queueNames)
--- a/src/gateway/testing/storm.h
+++ b/src/gateway/testing/storm.h
@@ -1,5 +1,4 @@
 #pragma once
-#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -7,14 +6,8 @@
 
 namespace basaltchute::gateway::testing {
 
-/// How often each fault happened in a storm.
-struct Faults {
-    std::uint64_t cuts = 0, kills = 0, drains = 0, grantsEnded = 0, outages = 0, stateRefused = 0,
-                  stateMute = 0, stateLate = 0, jobsRefused = 0, jobsMute = 0, jobsLost = 0,
-                  brokerAway = 0, repliesReleased = 0;
-    [[nodiscard]] std::array<std::pair<const char*, std::uint64_t>, 13> all() const;
-    Faults& operator+=(const Faults& f);
-};
+/// How often each fault happened in a storm, by its name.
+using Faults = std::map<std::string, std::uint64_t>;
 
 struct StormResult {
     std::vector<std::string> wrong;  // empty: every message's job ended once, every reply came once
--- a/src/gateway/testing/storm_test.cpp
+++ b/src/gateway/testing/storm_test.cpp
@@ -25,7 +25,7 @@
     for (auto seed = first; seed < first + seeds; ++seed) {
         const StormResult r = storm(seed, messages);
         for (const auto& w : r.wrong) ADD_FAILURE() << "seed " << seed << ": " << w;
-        sum.faults += r.faults;
+        for (const auto& [name, n] : r.faults) sum.faults[name] += n;
         sum.messages += r.messages;
         sum.duplicatesSent += r.duplicatesSent;
         sum.jobs += r.jobs;
@@ -40,8 +40,10 @@
               << ", dead letters " << sum.deadLetters << ", replies " << sum.replies
               << ", seen twice without deduplication " << sum.repliesTwice
               << ", overtaken after the receiver gave one back " << sum.releasedThenLater << '\n';
-    for (const auto& [name, n] : sum.faults.all()) std::cout << "  " << name << ": " << n << '\n';
-    EXPECT_GT(sum.faults.cuts * sum.faults.kills * sum.faults.grantsEnded, 0U);
+    for (const auto& [name, n] : sum.faults) std::cout << "  " << name << ": " << n << '\n';
+    for (const char* fault :
+         {"cuts of all broker connections", "instances killed", "grants ended under a live owner"})
+        EXPECT_GT(sum.faults[fault], 0U) << fault;
 }
 
 }  // namespace
--- a/src/json/json.cpp
+++ b/src/json/json.cpp
@@ -30,6 +30,13 @@
 }
 }  // namespace
 
+std::string text(const Value& value) {
+    rapidjson::StringBuffer buffer;
+    rapidjson::Writer<rapidjson::StringBuffer> writer(buffer);
+    value.Accept(writer);
+    return {buffer.GetString(), buffer.GetSize()};
+}
+
 std::optional<Document> parse(std::string_view text) {
     if (tooDeep(text)) return std::nullopt;
     Document d;
--- a/src/json/json.h
+++ b/src/json/json.h
@@ -17,6 +17,9 @@
 /// not JSON or nests deeper than anything this service reads.
 std::optional<Document> parse(std::string_view text);
 
+/// The value as JSON text.
+std::string text(const Value& value);
+
 /// The member, or nullptr if it is absent or null (the protocols treat both alike).
 const Value* find(const Value& object, const char* name);
 std::optional<std::string> string(const Value& object, const char* name);
--- a/src/json/schema.cpp
+++ b/src/json/schema.cpp
@@ -7,12 +7,6 @@
 
 namespace {
 
-std::string textOf(const Value& v) {
-    rapidjson::StringBuffer b;
-    rapidjson::Writer<rapidjson::StringBuffer> w(b);
-    v.Accept(w);
-    return {b.GetString(), b.GetSize()};
-}
 std::string textOf(const rapidjson::Pointer& p) {
     rapidjson::StringBuffer b;
     p.StringifyUriFragment(b);
@@ -29,14 +23,14 @@
 }  // namespace
 
 std::optional<std::string> schemaError(const Document& document, const char* schemaText) {
-    rapidjson::Document text;
-    text.Parse(schemaText);
-    const rapidjson::SchemaDocument schema(text);
+    rapidjson::Document rules;
+    rules.Parse(schemaText);
+    const rapidjson::SchemaDocument schema(rules);
     rapidjson::SchemaValidator validator(schema);
     if (document.Accept(validator)) return std::nullopt;
     const auto where = validator.GetInvalidDocumentPointer();
     const std::string rule = validator.GetInvalidSchemaKeyword();
-    const auto* asked = validator.GetInvalidSchemaPointer().Get(text);
+    const auto* asked = validator.GetInvalidSchemaPointer().Get(rules);
     const auto* given = where.Get(document);
     const std::string at = textOf(where);
     if (rule == "additionalProperties") return at + ": expected no such field";
@@ -44,7 +38,7 @@
         return at + ": expected \"" + missing(*given, *asked) + '"';
     std::string expected = rule;
     if (asked != nullptr && asked->IsObject() && asked->HasMember(rule.c_str()))
-        expected += ' ' + textOf((*asked)[rule.c_str()]);
+        expected += ' ' + text((*asked)[rule.c_str()]);
     return at + ": expected " + expected;
 }
 
--- /dev/null
+++ b/src/runtime/log.h
@@ -0,0 +1,9 @@
+#pragma once
+#include <string>
+
+namespace basaltchute {
+
+/// Logs to standard error under `name`, as much as LOG_LEVEL (`error`, `info`, `debug`) says.
+void setUpLog(const std::string& name);
+
+}  // namespace basaltchute
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -33,19 +33,12 @@
     }
 }
 
-std::string textOf(const json::Value& v) {
-    rapidjson::StringBuffer b;
-    rapidjson::Writer<rapidjson::StringBuffer> w(b);
-    v.Accept(w);
-    return {b.GetString(), b.GetSize()};
-}
-
 std::optional<Item> itemOf(const json::Value& v) {
     auto key = json::string(v, "key");
     const auto stamp = json::count(v, "stamp");
     const auto* data = json::find(v, "data");
     if (!key || !stamp || data == nullptr) return std::nullopt;
-    return Item{std::move(*key), textOf(*data), *stamp};
+    return Item{std::move(*key), json::text(*data), *stamp};
 }
 
 }  // namespace
--- a/src/testing/world_test.cpp
+++ b/src/testing/world_test.cpp
@@ -62,12 +62,6 @@
     const auto from = at + name.size() + 1;
     return target.substr(from, target.find('&', from) - from);
 }
-std::string text(const json::Value& v) {
-    rapidjson::StringBuffer b;
-    rapidjson::Writer<rapidjson::StringBuffer> w(b);
-    v.Accept(w);
-    return b.GetString();
-}
 }  // namespace
 
 StateService::StateService(Loop& loop, Scope& scope, const std::string& address)
@@ -129,7 +123,7 @@
             ++writes;
             continue;
         }
-        keys[p["put"].GetString()] = {text(p["data"]), epoch_,
+        keys[p["put"].GetString()] = {json::text(p["data"]), epoch_,
                                       p.HasMember("hold") ? p["hold"].GetUint64() : 0};
         ++writes;
     }
