--- a/tools/gateway_load.cpp
+++ b/tools/gateway_load.cpp
@@ -41,12 +41,11 @@
 class Instance {
   public:
     Instance(const Setting& s, unsigned number, const std::string& state, const std::string& jobs)
-        : port_(std::to_string(basePort() + number)) {
+        : address_(testing::freeAddress()) {
         const std::string path = s.directory + "/gw-" + std::to_string(number) + ".json";
         json::Out o;
         o.open().field("instance", "gw-" + std::to_string(number));
-        o.field("listen", address())
-            .field("admin", "127.0.0.1:" + std::to_string(basePort() + 50 + number));
+        o.field("listen", address_).field("admin", testing::freeAddress());
         o.key("controllers").openArray().value(jobs).closeArray().key("state").open();
         o.field("address", state).field("requestsPerSecond", 1000.0).field("share", 1.0);
         o.field("writesPerSecond", s.writesPerSecond)
@@ -78,7 +77,9 @@
         waitpid(pid_, nullptr, 0);
         pid_ = 0;
     }
-    [[nodiscard]] std::string address() const { return "127.0.0.1:" + port_; }
+    [[nodiscard]] const std::string& address() const { return address_; }
+    /// Whether it still runs: a figure of fewer instances than asked for would mislead.
+    [[nodiscard]] bool lives() const { return waitpid(pid_, nullptr, WNOHANG) == 0; }
     /// Resident memory in KiB.
     [[nodiscard]] long memory() const {
         std::ifstream in("/proc/" + std::to_string(pid_) + "/statm");
@@ -88,8 +89,7 @@
     }
 
   private:
-    static unsigned basePort() { return 20000 + static_cast<unsigned>(::getpid()) % 400 * 100; }
-    std::string port_;
+    std::string address_;
     pid_t pid_ = 0;
 };
 
@@ -188,6 +188,8 @@
             addresses.push_back(instances.back()->address());
         }
         runFor(4s);
+        for (const auto& i : instances)
+            if (!i->lives()) throw std::runtime_error("an instance has not started");
     }
     const Setting& setting;
     SystemClock clock;
--- /dev/null
+++ b/tools/site_variants.py
@@ -0,0 +1,162 @@
+#!/usr/bin/env python3
+"""Variants of a bench site file, and days of our own for it: what operators' own days may hold.
+
+    site_variants.py site SITE OUT [--scale 1.5] [--restart-delay 0.2]
+    site_variants.py days SITE DIR
+
+`site` writes SITE again with its counts and rates times `--scale` (machines, capacity, jobs at the
+start, arrivals, and how many machines a trouble hits) and with processes that are back after
+`--restart-delay` seconds. `days` writes one file per day into DIR; zones and classes are read from
+the site, times are taken from its length. Nothing of a site is kept here.
+"""
+import argparse
+import math
+import pathlib
+import re
+import shutil
+import tomllib
+
+
+def scaled(text, factor, delay):
+    """Edits the text instead of writing the document anew: its comments and order stay."""
+    out, section = [], ""
+    for line in text.splitlines():
+        head = re.match(r"\s*\[+([a-z_]+)\]+\s*$", line)
+        if head:
+            section = head[1]
+
+        def count(match):
+            return match[1] + str(math.ceil(int(match[2]) * factor))
+
+        def rate(match):
+            return match[1] + f"{float(match[2]) * factor:.4f}"
+
+        if section in ("capacity", "machines"):
+            line = re.sub(r"^((?:count|spot) = )(\d+)$", count, line)
+        if section == "jobs":
+            line = re.sub(r"^(initial = )(\d+)$", count, line)
+            line = re.sub(r"^(arrivals = \{ rate = )([0-9.]+)", rate, line)
+        if section == "day":
+            line = re.sub(r'(kind = "machine_[a-z]+", count = )(\d+)', count, line)
+        if section == "nodes" and delay is not None:
+            line = re.sub(r"^(restart_delay_s = ).*", rf"\g<1>{delay}", line)
+        out.append(line)
+    return "\n".join(out) + "\n"
+
+
+def write_site(args):
+    source = pathlib.Path(args.site)
+    text = source.read_text()
+    site = tomllib.loads(text)
+    suffix = pathlib.Path(args.out).stem
+    text = re.sub(r'^name = ".*"', f'name = "{suffix}"', text, count=1)
+    text = scaled(text, args.scale, args.restart_delay)
+    out = pathlib.Path(args.out)
+    out.write_text(text)
+    wire = source.parent / site["wire"]
+    if wire.parent != out.parent:
+        shutil.copy(wire, out.parent / site["wire"])
+    for beside in (source.with_suffix(".days"),):
+        if beside.exists():
+            shutil.copy(beside, out.with_suffix(".days"))
+
+
+def fault(at, kind, **more):
+    return {"at_s": float(at), "kind": kind, **more}
+
+
+def crash(at, count, busiest=True):
+    return fault(at, "node_crash", count=count, busiest=busiest)
+
+
+def days_of(site):
+    """Each day by name: its troubles. `t` is when the count begins, with a settled fleet."""
+    nodes = site["nodes"]["count"]
+    zones = site["nodes"]["zones"]
+    classes = [j["name"] for j in site["jobs"]]
+    t = site["warmup_s"] + 15
+    lease = site["workers"]["lease_s"]
+    span = site["duration_s"] - site["warmup_s"]
+
+    def all_twice(at):
+        return [crash(at, nodes), crash(at + 1.2, nodes)]
+
+    days = {}
+    # Each one ended twice within two seconds: one after the other, then all together.
+    days["twice"] = (
+        [crash(t + 8 * i + s, 1) for i in range(nodes) for s in (0, 1.2)]
+        + all_twice(t + 70) + all_twice(t + 110))
+    # All of them ended every second for ten seconds, and later one a second, the leader first.
+    days["every-second"] = (
+        [crash(t + s, nodes) for s in range(10)] + [crash(t + 60 + s, 1) for s in range(10)])
+    # An end in every phase of a take-over: the leader falls, and its successors at fine steps after.
+    phases = (0.2, 0.6, 0.9, 1.1, 1.2, 1.25, 1.3, 1.35, 1.4, 1.5, 1.7, 2.0)
+    days["phases"] = [
+        f for i, p in enumerate(phases)
+        for f in (crash(t + 12 * i, 1), crash(t + 12 * i + p, nodes))]
+    days["outage"] = [
+        fault(t, "state_outage", for_s=30.0), crash(t + 5, 1), crash(t + 12, nodes),
+        crash(t + 13.5, nodes), crash(t + 29, nodes),
+        fault(t + 90, "state_outage", for_s=20.0), crash(t + 95, 2, False), crash(t + 98, 1)]
+    # A zone that lives on loans while its nodes, or all of them, start again.
+    days["cut"] = [
+        fault(t, "zone_cut", zone=zones[-1], for_s=1.2 * lease, mode="hold"),
+        crash(t + 0.4 * lease, nodes),
+        fault(t + 2.5 * lease, "zone_cut", zone=zones[0], for_s=1.2 * lease, mode="hold"),
+        crash(t + 2.9 * lease, 2, False), crash(t + 3.1 * lease, 1)]
+    for factor in (4, 8):
+        for name in classes:
+            days[f"burst{factor}-{name}"] = [
+                fault(t, "job_burst", **{"class": name}, factor=float(factor), for_s=span / 4),
+                crash(t + 10, (nodes + 1) // 2), crash(t + 12, (nodes + 1) // 2, False)]
+        days[f"burst{factor}-all"] = [
+            *(fault(t, "job_burst", **{"class": n}, factor=float(factor), for_s=span / 4)
+              for n in classes),
+            crash(t + 10, (nodes + 1) // 2), crash(t + 12, (nodes + 1) // 2, False)]
+    # A class that comes eight times as often for the rest of the day.
+    for name in classes:
+        days[f"flood-{name}"] = [
+            fault(t, "job_burst", **{"class": name}, factor=8.0, for_s=span - 30)]
+    return days
+
+
+def toml_value(value):
+    if isinstance(value, bool):
+        return str(value).lower()
+    if isinstance(value, (int, float)):
+        return str(round(value, 3))
+    return f'"{value}"'
+
+
+def write_days(args):
+    site = tomllib.loads(pathlib.Path(args.site).read_text())
+    out = pathlib.Path(args.dir)
+    out.mkdir(parents=True, exist_ok=True)
+    for seed, (name, faults) in enumerate(days_of(site).items(), start=200):
+        rows = [
+            "  { " + ", ".join(f"{k} = {toml_value(v)}" for k, v in f.items()) + " },"
+            for f in sorted(faults, key=lambda f: f["at_s"])]
+        (out / f"{name}.toml").write_text(
+            f'[[day]]\nname = "{name}"\nslot = "scale"\nlight = false\nseed = {seed}\nfaults = [\n'
+            + "\n".join(rows) + "\n]\n")
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    verbs = parser.add_subparsers(required=True)
+    site = verbs.add_parser("site", help="a variant of a site file")
+    site.add_argument("site")
+    site.add_argument("out")
+    site.add_argument("--scale", type=float, default=1.0)
+    site.add_argument("--restart-delay", type=float)
+    site.set_defaults(run=write_site)
+    days = verbs.add_parser("days", help="days of our own for a site file")
+    days.add_argument("site")
+    days.add_argument("dir")
+    days.set_defaults(run=write_days)
+    args = parser.parse_args()
+    args.run(args)
+
+
+if __name__ == "__main__":
+    main()
