--- a/src/app/controller_test.cpp
+++ b/src/app/controller_test.cpp
@@ -397,6 +397,45 @@
     EXPECT_GE(token(), 2U);
 }
 
+TEST_F(ControllerTest, AnEndInAnyPhaseOfATakeOverCostsThatTakeOverOnly) {
+    // Before the grant, between grant and key, between key and records, while they load, before the
+    // first acceptance and just after: every request takes its time, and the process ends in steps
+    // of less than that.
+    start(1, 1);
+    ASSERT_EQ(ask(0, "POST", "/v1/jobs", testing::submission("run-1")).response.status, 201);
+    state.fault = [](const http::Request& r) -> testing::StateService::Fault {
+        if (r.target.starts_with("/watch")) return {};
+        return {testing::StateService::Fault::Kind::slow, 20ms};
+    };
+    std::set<Token> elected{token()};
+    std::size_t interrupted = 0;
+    for (int step = 0; step < 40; ++step) {
+        kill(0);
+        launch(*nodes[0]);
+        world.run(step * 8ms);
+        bool done = false;
+        http::Outcome maybe;
+        const std::string id = "run-" + std::to_string(10 + step);
+        users.spawn(
+            send(*nodes[0]->client, {"POST", "/v1/jobs", testing::submission(id)}, maybe, done));
+        world.run(5ms);
+        kill(0);
+        world.until([&] { return done; });
+        if (!elected.insert(token()).second) ++interrupted;
+        launch(*nodes[0]);
+        world.run(1500ms);
+        EXPECT_EQ(leader(), 0U) << step;
+        EXPECT_TRUE(elected.insert(token()).second) << "a token of its own, step " << step;
+        EXPECT_EQ(ask(0, "GET", "/v1/jobs/run-1").response.status, 200) << step;
+        // Nobody was told that this one is accepted, unless it is.
+        const int now = ask(0, "GET", "/v1/jobs/" + id).response.status;
+        EXPECT_TRUE(maybe.response.status != 201 || now == 200) << step;
+        EXPECT_EQ(now == 200, state.keys.contains("jobs/" + id)) << step;
+    }
+    EXPECT_GT(interrupted, 5U) << "ended before the key stood";
+    EXPECT_LT(interrupted, 35U) << "and after";
+}
+
 TEST_F(ControllerTest, AHolderHandsItsLoanOnToANodeOfItsZoneThatWasStartedAgain) {
     // A node that has just started holds no loan: nodes of a cut zone that were started again one
     // after the other left it without any.
