A session that is known by an answer only has a lease of its own

Work launched there by direct orders was released when the former session's lease had surely ended, and started elsewhere.

Change: whenever a session is first heard of, the machine counts to a whole lease from then.

--- a/src/scheduler/cluster_test.cpp
+++ b/src/scheduler/cluster_test.cpp
@@ -72,6 +72,30 @@
     }
 };
 
+TEST_F(ClusterTest, ASessionLivesForALeaseThoughItIsKnownByAnAnswerOnly) {
+    // Found in the lab: the worker's node stood still, its lease ran out, and the leader learnt of its
+    // new session by asking it. Work launched there was started elsewhere too, half a second later,
+    // when the lease of the former session had surely ended.
+    Worker w("n-1"), other("n-2");
+    exchange(w);
+    clock.advance(settings.lease + 200ms);
+    w.newSession();
+    cluster->report(w.next(), Cluster::Source::direct, clock.now());
+    Job& job = submit(testing::spec("run-1", 1));
+    place();
+    commit();
+    w.execute(cluster->directOrders(cluster->indexOf("n-1"), clock.now()));
+    ASSERT_EQ(w.report.tasks.size(), 1U);
+    exchange(other);
+    clock.advance(2s);  // the former session's lease has ended by any clock
+    cluster->expire(clock.now());
+    EXPECT_EQ(job.boundCount, 1U) << "it lives on, and nothing was heard since";
+    EXPECT_EQ(job.tasks[0].machine, cluster->indexOf("n-1"));
+    clock.advance(settings.lease);
+    cluster->expire(clock.now());
+    EXPECT_EQ(job.boundCount, 0U);
+}
+
 TEST_F(ClusterTest, LaunchesOnlyWhatStandsOnRecord) {
     Worker w("n-1");
     exchange(w);
--- a/src/scheduler/reports.cpp
+++ b/src/scheduler/reports.cpp
@@ -186,6 +186,10 @@
         for (std::size_t c = m.charges.size(); c-- > 0;)
             if (m.charges[c].sent) release(index, c);
     }
+    // A session lives for a lease from when it began, though nobody has answered a beat of it: one
+    // that became known by an answer to a question was given work, and up to the end of the former
+    // session's lease only, after which that work was started elsewhere as well.
+    if (r.session > m.session) m.leaseEnd = std::max(m.leaseEnd, leaseEnd(now));
     m.session = r.session;
     m.sequence = r.sequence;
     if (r.session <= m.deadSession) {
