--- /dev/null
+++ b/src/lab/checker.cpp
@@ -0,0 +1,265 @@
+#include "lab/checker.h"
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <set>
+
+namespace basaltchute::lab {
+
+namespace {
+
+using Kind = Fact::Kind;
+constexpr double tiny = 1e-6;
+constexpr double silentS = 90;  // every poll in vain for so long, while most others are answered
+constexpr double cancelSlackS = 0.01;  // the clock of whoever was told
+
+bool isAnswer(const Fact& e) {
+    return e.kind == Kind::told && (e.status == 200 || e.status == 201);
+}
+
+class Check {
+  public:
+    Check(const History& history, const RuleTerms& terms) : h_(history), terms_(terms) {}
+    Verdict run();
+
+  private:
+    struct Place {
+        std::size_t event;
+        std::string machine, site;
+    };
+    struct Known {
+        std::optional<std::size_t> submitted, accepted, done, cancelled, withdrew;
+        std::optional<double> silentSince;
+        std::set<std::uint32_t> completed;
+        std::multimap<std::uint32_t, Place> on;  // by task
+        bool started = false;
+    };
+    void wrong(const std::string& rule, const std::string& what,
+               const std::vector<std::size_t>& events) {
+        if (!seen_.insert(rule + what).second) return;
+        Violation v{rule, what, {}};
+        for (const auto i : events) v.proof.push_back(h_.facts[i]);
+        out_.violations.push_back(std::move(v));
+    }
+    void on(std::size_t i);
+    void off(const Fact& e);
+    void told(std::size_t i);
+    void place(std::size_t i, const JobSpec& spec, const Known& job);
+    void quota(std::size_t i, const JobSpec& spec);
+    void overdue(double now);
+
+    const History& h_;
+    const RuleTerms& terms_;
+    std::map<std::string, Known> jobs_;
+    std::map<std::string, std::pair<double, double>> use_;  // cores and GPUs by team, all sites
+    std::set<std::string> seen_, cancelledOn_;
+    std::uint64_t polls_ = 0, answered_ = 0, launches_ = 0;
+    std::deque<std::pair<double, bool>> recent_;  // polls and whether they were answered
+    Verdict out_;
+};
+
+void Check::quota(std::size_t i, const JobSpec& spec) {
+    const auto team = terms_.teams.find(spec.team);
+    if (team == terms_.teams.end()) return;
+    const auto& [cores, gpus] = use_[spec.team];
+    const settings::Team& t = team->second;
+    if ((t.coresMax <= 0 || cores <= t.coresMax + tiny) &&
+        (t.gpusMax <= 0 || gpus <= t.gpusMax + tiny))
+        return;
+    std::vector<std::size_t> proof;
+    for (const auto& [id, job] : jobs_)
+        if (h_.jobs.at(id).team == spec.team)
+            for (const auto& [task, p] : job.on) proof.push_back(p.event);
+    std::sort(proof.begin(), proof.end());
+    wrong("quota", "team " + spec.team + " is above its limit", proof);
+    (void)i;
+}
+
+void Check::place(std::size_t i, const JobSpec& spec, const Known& job) {
+    const Fact& e = h_.facts[i];
+    const MachineFacts& m = h_.machines.at(e.machine);
+    const auto bad = [&](const std::string& why, std::vector<std::size_t> proof = {}) {
+        proof.push_back(i);
+        wrong("wrong_place", spec.id + ' ' + why, proof);
+    };
+    if (spec.types &&
+        std::find(spec.types->begin(), spec.types->end(), m.type) == spec.types->end())
+        bad("is on a type that it does not allow");
+    if (spec.zone && *spec.zone != m.zone) bad("is in a zone that it does not allow");
+    if (m.spot && !spec.spotAllowed) bad("is on a spot machine");
+    std::size_t here = 0;
+    std::vector<std::size_t> others;
+    for (const auto& [task, p] : job.on) {
+        const MachineFacts& at = h_.machines.at(p.machine);
+        if (at.zone == m.zone && at.site == m.site) {
+            ++here;
+            others.push_back(p.event);
+        } else if (spec.oneZone) {
+            bad("is in two zones", {p.event});
+        }
+    }
+    if (spec.spread && here > (spec.tasks + 1) / 2) bad("is not spread", others);
+}
+
+void Check::on(std::size_t i) {
+    const Fact& e = h_.facts[i];
+    ++launches_;
+    const auto spec = h_.jobs.find(e.job);
+    if (spec == h_.jobs.end()) return;
+    Known& job = jobs_[e.job];
+    for (auto [p, end] = job.on.equal_range(e.task); p != end; ++p) {
+        const std::string id = e.job + '/' + std::to_string(e.task);
+        wrong("ran_twice", id + " starts on " + e.machine + " while it is on " + p->second.machine,
+              {p->second.event, i});
+        if (p->second.site != e.site)
+            wrong("two_sites", id + " is on two sites at once", {p->second.event, i});
+    }
+    job.on.emplace(e.task, Place{i, e.machine, e.site});
+    job.started = true;
+    auto& [cores, gpus] = use_[spec->second.team];
+    cores += spec->second.demand.cores;
+    gpus += spec->second.demand.gpus;
+    quota(i, spec->second);
+    place(i, spec->second, job);
+    if (job.cancelled) cancelledOn_.insert(e.job);
+}
+
+void Check::off(const Fact& e) {
+    const auto job = jobs_.find(e.job);
+    if (job == jobs_.end()) return;
+    for (auto [p, end] = job->second.on.equal_range(e.task); p != end; ++p) {
+        if (p->second.machine != e.machine) continue;
+        job->second.on.erase(p);
+        auto& [cores, gpus] = use_[h_.jobs.at(e.job).team];
+        cores -= h_.jobs.at(e.job).demand.cores;
+        gpus -= h_.jobs.at(e.job).demand.gpus;
+        break;
+    }
+    if (job->second.on.empty()) cancelledOn_.erase(e.job);
+}
+
+void Check::overdue(double now) {
+    // Only what was told to be cancelled and is on machines is looked at.
+    for (auto id = cancelledOn_.begin(); id != cancelledOn_.end();) {
+        const Known& job = jobs_.at(*id);
+        const std::size_t at = *job.cancelled;
+        if (now <= h_.facts[at].at + terms_.cancelS + cancelSlackS) {
+            ++id;
+            continue;
+        }
+        wrong("ran_cancelled", *id + " is on a machine too long after its user was told",
+              {at, job.on.begin()->second.event});
+        id = cancelledOn_.erase(id);
+    }
+}
+
+void Check::told(std::size_t i) {
+    const Fact& e = h_.facts[i];
+    const bool submitted = h_.jobs.contains(e.job);
+    if (!submitted) {
+        if (isAnswer(e)) wrong("invented", e.job + " was never submitted", {i});
+        return;
+    }
+    Known& job = jobs_[e.job];
+    if (e.question == Fact::Question::poll && (e.status == 200 || e.status == 404))
+        job.silentSince.reset();
+    if (job.accepted) {
+        const bool repeats =
+            e.question == Fact::Question::submission || e.question == Fact::Question::repetition;
+        if (e.status == 404 || (repeats && (e.status == 400 || e.status == 422)))
+            wrong("forgotten", e.job + " was accepted", {*job.accepted, i});
+    }
+    if (!isAnswer(e)) return;
+    if (!job.accepted) job.accepted = i;
+    const std::string& word = e.word;
+    if (word == "done") {
+        if (job.cancelled) wrong("went_back", e.job + " was cancelled", {*job.cancelled, i});
+        const JobSpec& spec = h_.jobs.at(e.job);
+        if (spec.shape == Shape::service || job.completed.size() < spec.tasks)
+            wrong("not_done",
+                  e.job + " has " + std::to_string(job.completed.size()) + " of " +
+                      std::to_string(spec.tasks) + " tasks done",
+                  {i});
+        if (!job.done) job.done = i;
+    } else if (word == "cancelled") {
+        if (job.done) wrong("went_back", e.job + " was done", {*job.done, i});
+        if (!job.withdrew) wrong("went_back", e.job + " was not withdrawn by its user", {i});
+        if (!job.cancelled) {
+            job.cancelled = i;
+            if (!job.on.empty()) cancelledOn_.insert(e.job);
+        }
+    } else if (job.done || job.cancelled) {
+        wrong("went_back", e.job + " was final", {job.done ? *job.done : *job.cancelled, i});
+    }
+}
+
+Verdict Check::run() {
+    for (std::size_t i = 0; i < h_.facts.size(); ++i) {
+        const Fact& e = h_.facts[i];
+        overdue(e.at);
+        switch (e.kind) {
+            case Kind::submitted:
+                jobs_[e.job].submitted = i;
+                break;
+            case Kind::withdrew:
+                jobs_[e.job].withdrew = i;
+                break;
+            case Kind::on:
+                on(i);
+                break;
+            case Kind::off:
+                off(e);
+                break;
+            case Kind::completed:
+                jobs_[e.job].completed.insert(e.task);
+                break;
+            case Kind::told:
+                told(i);
+                if (e.question == Fact::Question::poll && e.status == 200)
+                    recent_.emplace_back(e.at, true);
+                break;
+            case Kind::asked:
+                if (e.question == Fact::Question::poll && h_.jobs.contains(e.job)) {
+                    Known& job = jobs_[e.job];
+                    if (!job.silentSince) job.silentSince = e.at;
+                    recent_.emplace_back(e.at, false);
+                    while (!recent_.empty() && recent_.front().first < e.at - silentS)
+                        recent_.pop_front();
+                    const auto good = std::count_if(recent_.begin(), recent_.end(),
+                                                    [](const auto& r) { return r.second; });
+                    if (e.at - *job.silentSince > silentS && job.accepted &&
+                        static_cast<std::size_t>(good) * 4 > recent_.size())
+                        wrong("forgotten", e.job + " has polled in vain for too long",
+                              {*job.accepted, i});
+                }
+                break;
+            default:
+                break;
+        }
+    }
+    if (launches_ == 0) wrong("nothing_ran", "no task was started", {});
+    for (const auto& [id, job] : jobs_) {
+        const auto spec = h_.jobs.find(id);
+        if (spec == h_.jobs.end() || !job.submitted) continue;
+        const double at = h_.facts[*job.submitted].at;
+        if (!job.accepted && at >= terms_.settledS && at <= terms_.untilS)
+            wrong("stuck", id + " was never accepted, long after the last trouble",
+                  {*job.submitted});
+        for (Share* s : {&out_.classes[spec->second.jobClass], &out_.teams[spec->second.team]}) {
+            ++s->jobs;
+            s->accepted += job.accepted ? 1 : 0;
+            s->started += job.started ? 1 : 0;
+            s->ended += job.done || job.cancelled ? 1 : 0;
+        }
+    }
+    return std::move(out_);
+}
+
+}  // namespace
+
+Verdict check(const History& history, const RuleTerms& terms) {
+    return Check(history, terms).run();
+}
+
+}  // namespace basaltchute::lab
--- /dev/null
+++ b/src/lab/checker.h
@@ -0,0 +1,37 @@
+#pragma once
+#include <map>
+#include <string>
+#include <vector>
+
+#include "lab/history.h"
+#include "settings/settings.h"
+
+namespace basaltchute::lab {
+
+/// What the rules need to know of a deployment, beside what happened.
+struct RuleTerms {
+    double cancelS = 0;
+    std::map<std::string, settings::Team> teams;  // over all sites
+    /// Nothing is wrong any more from `settledS` on: what is submitted then, and before `untilS`,
+    /// is accepted before the history ends.
+    double settledS = 0, untilS = -1;
+};
+
+struct Violation {
+    std::string rule, what;
+    std::vector<Fact> proof;  // the shortest part of the history that shows it
+};
+
+struct Share {
+    std::uint64_t jobs = 0, accepted = 0, started = 0, ended = 0;
+};
+struct Verdict {
+    std::vector<Violation> violations;
+    std::map<std::string, Share> classes, teams;
+};
+
+/// Decides from outside: it knows what users, workers and the cloud saw, and no code of the
+/// service.
+Verdict check(const History& history, const RuleTerms& terms);
+
+}  // namespace basaltchute::lab
--- /dev/null
+++ b/src/lab/checker_test.cpp
@@ -0,0 +1,196 @@
+#include "lab/checker.h"
+
+#include <gtest/gtest.h>
+
+#include "testing/world.h"
+
+// One history for each rule that breaks it, and the same one mended.
+
+namespace basaltchute::lab {
+namespace {
+
+using Kind = Fact::Kind;
+using Question = Fact::Question;
+
+class CheckerTest : public ::testing::Test {
+  protected:
+    History history;
+    RuleTerms terms;
+
+    CheckerTest() {
+        terms.cancelS = 10;
+        terms.teams["red"] = {"red", 0, 8, 0, 0};
+        for (const char* zone : {"a", "b"})
+            for (const char* kind : {"ordinary", "spot"})
+                history.machines[std::string(zone) + '-' + kind] = {"box", zone, "east",
+                                                                    kind == std::string("spot")};
+        history.machines["far"] = {"box", "c", "west", false};
+        history.machines["rack"] = {"rack", "a", "east", false};
+        job("run-1").tasks = 2;
+        add(0, Kind::submitted, "run-1");
+        on(1, "run-1", 0, "a-ordinary");  // something runs in every history
+    }
+    JobSpec& job(const std::string& id) {
+        JobSpec& s = history.jobs[id];
+        s = testing::spec(id, 1);
+        s.spotAllowed = false;
+        return s;
+    }
+    Fact& add(double at, Kind kind, const std::string& id) {
+        Fact f;
+        f.at = at;
+        f.kind = kind;
+        f.job = id;
+        f.site = "east";
+        history.facts.push_back(f);
+        return history.facts.back();
+    }
+    void on(double at, const std::string& id, std::uint32_t task, const std::string& machine) {
+        Fact& f = add(at, Kind::on, id);
+        f.task = task;
+        f.machine = machine;
+        f.site = history.machines.at(machine).site;
+    }
+    void off(double at, const std::string& id, std::uint32_t task, const std::string& machine) {
+        Fact& f = add(at, Kind::off, id);
+        f.task = task;
+        f.machine = machine;
+    }
+    void told(double at, const std::string& id, int status, const std::string& word,
+              Question question = Question::poll) {
+        Fact& f = add(at, Kind::told, id);
+        f.status = status;
+        f.word = word;
+        f.question = question;
+    }
+    void asked(double at, const std::string& id) { add(at, Kind::asked, id); }
+    std::set<std::string> broken() {
+        std::set<std::string> out;
+        for (const auto& v : check(history, terms).violations) out.insert(v.rule);
+        return out;
+    }
+    using Rules = std::set<std::string>;
+};
+
+TEST_F(CheckerTest, ATaskRunsOnOneMachineOfOneSite) {
+    off(2, "run-1", 0, "a-ordinary");
+    on(2, "run-1", 0, "b-ordinary");
+    EXPECT_EQ(broken(), Rules{});
+    on(3, "run-1", 0, "a-ordinary");
+    EXPECT_EQ(broken(), Rules{"ran_twice"});
+    const auto verdict = check(history, terms);
+    ASSERT_EQ(verdict.violations.size(), 1U);
+    ASSERT_EQ(verdict.violations[0].proof.size(), 2U) << "the two starts, and nothing else";
+    EXPECT_EQ(verdict.violations[0].proof[0].machine, "b-ordinary");
+    on(4, "run-1", 0, "far");
+    EXPECT_TRUE(broken().contains("two_sites"));
+}
+
+TEST_F(CheckerTest, ATeamsUseIsItsTasksOnAllSitesTogether) {
+    job("run-2").demand.cores = 4;
+    on(2, "run-2", 0, "far");
+    EXPECT_EQ(broken(), Rules{}) << "4 and 4 of 8";
+    job("run-3").demand.cores = 0.5;
+    on(3, "run-3", 0, "b-ordinary");
+    EXPECT_EQ(broken(), Rules{"quota"});
+}
+
+TEST_F(CheckerTest, WhereAJobDoesNotAllowItNothingStarts) {
+    off(2, "run-1", 0, "a-ordinary");
+    on(3, "run-1", 0, "a-spot");
+    EXPECT_EQ(broken(), Rules{"wrong_place"});
+    history.jobs["run-1"].spotAllowed = true;
+    EXPECT_EQ(broken(), Rules{});
+    history.jobs["run-1"].zone = "b";
+    EXPECT_EQ(broken(), Rules{"wrong_place"});
+    history.jobs["run-1"].zone.reset();
+    history.jobs["run-1"].types = {{"rack"}};
+    EXPECT_EQ(broken(), Rules{"wrong_place"});
+}
+
+TEST_F(CheckerTest, HalfOfASpreadJobIsInOneZoneAtMost) {
+    history.jobs["run-1"].spread = true;
+    on(2, "run-1", 1, "b-ordinary");
+    EXPECT_EQ(broken(), Rules{});
+    off(3, "run-1", 1, "b-ordinary");
+    on(3, "run-1", 1, "rack");
+    EXPECT_EQ(broken(), Rules{"wrong_place"});
+}
+
+TEST_F(CheckerTest, ACancelledJobIsGoneInTime) {
+    add(2, Kind::withdrew, "run-1");
+    told(3, "run-1", 200, "cancelled", Question::withdrawal);
+    off(12.9, "run-1", 0, "a-ordinary");
+    add(60, Kind::up, "");
+    EXPECT_EQ(broken(), Rules{});
+    on(61, "run-1", 1, "b-ordinary");
+    add(62, Kind::up, "");
+    EXPECT_EQ(broken(), Rules{"ran_cancelled"});
+}
+
+TEST_F(CheckerTest, AnAcceptedJobIsKnownEverAfter) {
+    told(2, "run-1", 201, "pending", Question::submission);
+    told(3, "run-1", 200, "running");
+    EXPECT_EQ(broken(), Rules{});
+    told(4, "run-1", 422, "", Question::repetition);
+    EXPECT_EQ(broken(), Rules{"forgotten"});
+    history.facts.pop_back();
+    told(4, "run-1", 404, "");
+    EXPECT_EQ(broken(), Rules{"forgotten"});
+}
+
+TEST_F(CheckerTest, PollsInVainAreForgottenOnlyWhileOthersAreAnswered) {
+    told(2, "run-1", 201, "pending", Question::submission);
+    job("run-2");
+    told(2, "run-2", 201, "pending", Question::submission);
+    for (int s = 0; s < 100; s += 5) {
+        asked(5 + s, "run-1");
+        asked(5 + s, "run-2");
+    }
+    EXPECT_EQ(broken(), Rules{}) << "an outage for everyone";
+    for (int s = 0; s < 100; s += 2) told(105, "run-2", 200, "running");
+    asked(106, "run-1");
+    EXPECT_EQ(broken(), Rules{"forgotten"});
+}
+
+TEST_F(CheckerTest, NobodyIsToldOfWhatNobodySubmitted) {
+    told(2, "stray-1", 404, "");
+    EXPECT_EQ(broken(), Rules{});
+    told(3, "stray-1", 200, "pending");
+    EXPECT_EQ(broken(), Rules{"invented"});
+}
+
+TEST_F(CheckerTest, DoneIsSaidOnceEveryTaskIs) {
+    Fact& one = add(2, Kind::completed, "run-1");
+    one.task = 0;
+    told(3, "run-1", 200, "done");
+    EXPECT_EQ(broken(), Rules{"not_done"});
+    history.facts.pop_back();
+    add(3, Kind::completed, "run-1").task = 1;
+    told(4, "run-1", 200, "done");
+    EXPECT_EQ(broken(), Rules{});
+    told(5, "run-1", 200, "running");
+    EXPECT_EQ(broken(), Rules{"went_back"});
+}
+
+TEST_F(CheckerTest, NobodyElseCancels) {
+    off(2, "run-1", 0, "a-ordinary");
+    told(3, "run-1", 200, "cancelled");
+    EXPECT_EQ(broken(), Rules{"went_back"});
+}
+
+TEST_F(CheckerTest, SomethingRunsAndWhatComesAfterTheTroublesIsAccepted) {
+    terms.settledS = 50;
+    terms.untilS = 100;
+    job("run-2");
+    add(40, Kind::submitted, "run-2");
+    EXPECT_EQ(broken(), Rules{});
+    job("run-3");
+    add(60, Kind::submitted, "run-3");
+    EXPECT_EQ(broken(), Rules{"stuck"});
+    history.facts.clear();
+    EXPECT_EQ(broken(), Rules{"nothing_ran"});
+}
+
+}  // namespace
+}  // namespace basaltchute::lab
--- /dev/null
+++ b/src/lab/cloud.cpp
@@ -0,0 +1,183 @@
+#include "lab/cloud.h"
+
+#include <algorithm>
+
+#include "json/json.h"
+
+namespace basaltchute::lab {
+
+using namespace std::chrono_literals;
+
+namespace {
+constexpr Duration shownDead = 30s;  // a machine that dies goes on being listed as running
+
+std::string param(const std::string& target, const std::string& name) {
+    const auto at = target.find(name + '=');
+    if (at == std::string::npos) return "";
+    const auto from = at + name.size() + 1;
+    return target.substr(from, target.find('&', from) - from);
+}
+}  // namespace
+
+Cloud::Cloud(Timeline& time, Loop& loop, Scope& scope, const std::string& address, Terms terms,
+             Hooks hooks)
+    : time_(time),
+      loop_(loop),
+      terms_(std::move(terms)),
+      hooks_(std::move(hooks)),
+      requests_(terms_.rps, terms_.rps * 2, loop.now()),
+      server_(loop, address, {},
+              [this](http::Request r) -> Task<http::Response> { co_return serve(r); }) {
+    server_.start(scope);
+    changed();
+}
+
+const TypeTerms* Cloud::typeOf(const std::string& name) const {
+    const auto it = std::find_if(terms_.types.begin(), terms_.types.end(),
+                                 [&](const auto& t) { return t.name == name; });
+    return it == terms_.types.end() ? nullptr : &*it;
+}
+
+Cloud::Host& Cloud::add(const std::string& type, const std::string& zone, bool spot) {
+    Host h;
+    h.name = hooks_.name();
+    h.address = hooks_.address();
+    h.type = type;
+    h.zone = zone;
+    h.spot = spot;
+    h.since = time_.now();
+    return hosts_[h.name] = h;
+}
+void Cloud::addRunning(const std::string& type, const std::string& zone) {
+    Host& h = add(type, zone, false);
+    h.running = true;
+    changed();
+    hooks_.boot(h);
+}
+
+void Cloud::changed() {
+    past_[time_.now()] = hosts_;
+    // Lists are as old as twice the lag at most.
+    while (past_.size() > 1 && std::next(past_.begin())->first < time_.now() - terms_.listLag * 2)
+        past_.erase(past_.begin());
+}
+
+void Cloud::lose(const std::string& name, bool taken) {
+    const auto it = hosts_.find(name);
+    if (it == hosts_.end()) return;
+    if (taken) {
+        hosts_.erase(it);
+        changed();
+        return;
+    }
+    time_.after(shownDead, [this, name] {
+        if (const auto h = hosts_.find(name); h != hosts_.end()) {
+            h->second.running = false;
+            h->second.failed = true;
+            changed();
+        }
+    });
+}
+
+http::Response Cloud::rent(const std::string& body) {
+    const auto doc = json::parse(body);
+    const auto booking = doc ? json::string(*doc, "booking") : std::nullopt;
+    const auto type = doc ? json::string(*doc, "rigKind") : std::nullopt;
+    const auto zone = doc ? json::string(*doc, "hall") : std::nullopt;
+    const auto many = doc ? json::count(*doc, "howMany") : std::nullopt;
+    const bool spot = doc && json::boolean(*doc, "loaners").value_or(false);
+    if (!booking || !type || !zone || !many || *many > 50 || typeOf(*type) == nullptr)
+        return {400, R"({"error":"malformed"})"};
+    if (const auto before = rented_.find(*booking); before != rented_.end())
+        return {200, before->second};
+    const TypeTerms& t = *typeOf(*type);
+    const auto used = std::count_if(hosts_.begin(), hosts_.end(), [&](const auto& h) {
+        return h.second.type == *type && h.second.zone == *zone && h.second.spot == spot;
+    });
+    const std::uint64_t room = spot ? t.spot : t.ordinary;
+    const std::uint64_t left = room - std::min<std::uint64_t>(room, static_cast<unsigned>(used));
+    const std::uint64_t n = std::min(left, *many);
+    if (n == 0) return {503, R"({"error":"no capacity"})"};
+    json::Out out;
+    out.open().key("hosts").openArray();
+    for (std::uint64_t i = 0; i < n; ++i) {
+        const std::string name = add(*type, *zone, spot).name;
+        out.value(name);
+        if (time_.chance(t.neverBoots + bootFails)) continue;
+        const double boot = t.bootS * time_.between(0.6, 1.5) * bootFactor;
+        time_.after(fromSeconds(boot), [this, name] {
+            const auto h = hosts_.find(name);
+            if (h == hosts_.end()) return;
+            h->second.running = true;
+            changed();
+            hooks_.boot(h->second);
+        });
+    }
+    out.closeArray().close();
+    changed();
+    rented_[*booking] = out.text();
+    return {200, out.text()};
+}
+
+http::Response Cloud::list(const std::string& target) {
+    const std::string after = param(target, "after"), page = param(target, "page");
+    const std::size_t most = page.empty() ? 500 : std::min<std::size_t>(500, std::stoul(page));
+    const double lag = toSeconds(terms_.listLag) * time_.between(0.5, 2);
+    auto shown = past_.upper_bound(time_.now() - fromSeconds(lag));
+    if (shown != past_.begin()) --shown;
+    json::Out out;
+    out.open().key("hosts").openArray();
+    std::size_t n = 0;
+    bool more = false;
+    for (auto h = shown->second.upper_bound(after); h != shown->second.end(); ++h) {
+        if (n++ >= most) {
+            more = true;
+            break;
+        }
+        const Host& host = h->second;
+        out.open().field("ref", host.name).field("addr", host.address);
+        out.field("rigKind", host.type).field("hall", host.zone).field("loaners", host.spot);
+        out.field("status", host.failed ? "failed" : host.running ? "running" : "starting");
+        out.field("ageS", std::max(0.0, toSeconds(shown->first - host.since))).close();
+    }
+    out.closeArray().field("truncated", more).close();
+    return {200, out.text()};
+}
+
+http::Response Cloud::serve(const http::Request& r) {
+    if (down) return {503, R"({"error":"trouble"})"};
+    if (!requests_.take(loop_.now())) return {429, "{}"};
+    if (r.target == "/catalog") {
+        json::Out out;
+        out.open().key("rigs").openArray();
+        for (const auto& t : terms_.types) {
+            out.open().field("sku", t.name).field("cores", t.cores).field("gpus", t.gpus);
+            out.field("ramGb", t.ramGb).field("localGb", 50.0).field("fetchGbPerS", t.fetchGbPerS);
+            out.field("rate", t.price).field("marketPrice", t.spotPrice).field("readyS", t.bootS);
+            out.key("halls").openArray();
+            for (const auto& z : terms_.zones) out.value(z);
+            out.closeArray().close();
+        }
+        out.closeArray().close();
+        return {200, out.text()};
+    }
+    if (r.target == "/hosts/delete") {
+        const auto doc = json::parse(r.body);
+        const auto* names = doc ? json::array(*doc, "hosts") : nullptr;
+        if (names == nullptr || names->Size() > 100) return {400, "{}"};
+        for (const auto& n : names->GetArray()) {
+            const auto h = hosts_.find(n.GetString());
+            if (h == hosts_.end()) continue;
+            const Host gone = h->second;
+            hosts_.erase(h);
+            hooks_.remove(gone);
+        }
+        changed();
+        return {200, "{}"};
+    }
+    if (r.target == "/hosts" && r.method == "POST") return rent(r.body);
+    if (r.target.starts_with("/hosts")) return list(r.target);
+    return {404, "{}"};
+}
+
+}  // namespace basaltchute::lab
--- /dev/null
+++ b/src/lab/history.cpp
@@ -0,0 +1,35 @@
+#include "lab/history.h"
+
+#include <fmt/format.h>
+
+#include <array>
+#include <functional>
+
+namespace basaltchute::lab {
+
+std::string History::text(const Fact& e) {
+    static constexpr std::array kinds{"submitted", "asked", "told", "withdrew", "on",     "off",
+                                      "completed", "up",    "gone", "elected",  "trouble"};
+    static constexpr std::array questions{"submission", "repetition", "poll", "withdrawal"};
+    std::string out =
+        fmt::format("{:10.4f} {} {}", e.at, e.site, kinds.at(static_cast<std::size_t>(e.kind)));
+    if (e.kind == Fact::Kind::asked || e.kind == Fact::Kind::told)
+        out += fmt::format(" {}", questions.at(static_cast<std::size_t>(e.question)));
+    if (!e.job.empty()) out += ' ' + e.job;
+    if (e.kind == Fact::Kind::on || e.kind == Fact::Kind::off || e.kind == Fact::Kind::completed)
+        out += fmt::format("/{}", e.task);
+    if (!e.machine.empty()) out += " on " + e.machine;
+    if (e.status != 0) out += fmt::format(" {}", e.status);
+    if (!e.word.empty()) out += ' ' + e.word;
+    if (e.number != 0) out += fmt::format(" {}", e.number);
+    return out;
+}
+
+std::uint64_t History::digest() const {
+    std::uint64_t sum = 1469598103934665603U;
+    for (const auto& e : facts)
+        for (const char c : text(e)) sum = (sum ^ static_cast<unsigned char>(c)) * 1099511628211U;
+    return sum;
+}
+
+}  // namespace basaltchute::lab
--- /dev/null
+++ b/src/lab/scenario.cpp
@@ -0,0 +1,227 @@
+#include "lab/scenario.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "json/json.h"
+#include "json/schema.h"
+#include "scenario_schema.h"
+
+namespace basaltchute::lab {
+
+namespace {
+
+const json::Value& none() {
+    static const json::Document empty = [] {
+        json::Document d;
+        d.SetObject();
+        return d;
+    }();
+    return empty;
+}
+const json::Value& part(const json::Value& v, const char* name) {
+    const auto* p = json::find(v, name);
+    return p == nullptr ? none() : *p;
+}
+double numberOr(const json::Value& v, const char* name, double fallback) {
+    return json::number(v, name).value_or(fallback);
+}
+std::uint32_t countOr(const json::Value& v, const char* name, std::uint32_t fallback) {
+    return static_cast<std::uint32_t>(json::count(v, name).value_or(fallback));
+}
+std::string textOr(const json::Value& v, const char* name) {
+    return json::string(v, name).value_or("");
+}
+std::vector<std::string> texts(const json::Value* array) {
+    std::vector<std::string> out;
+    if (array != nullptr)
+        for (const auto& v : array->GetArray()) out.emplace_back(v.GetString());
+    return out;
+}
+Priority priorityOf(const std::string& s) {
+    return s == "production" ? Priority::production
+           : s == "high"     ? Priority::high
+           : s == "normal"   ? Priority::normal
+                             : Priority::low;
+}
+
+TypeTerms typeIn(const json::Value& v) {
+    TypeTerms t;
+    t.name = textOr(v, "name");
+    t.cores = numberOr(v, "cores", 1);
+    t.gpus = numberOr(v, "gpus", 0);
+    t.ramGb = numberOr(v, "ramGb", 1);
+    t.fetchGbPerS = numberOr(v, "fetchGbPerS", t.fetchGbPerS);
+    t.price = numberOr(v, "price", t.price);
+    t.spotPrice = numberOr(v, "spotPrice", t.spotPrice);
+    t.bootS = numberOr(v, "bootS", t.bootS);
+    t.neverBoots = numberOr(v, "neverBoots", 0);
+    t.ordinary = countOr(v, "ordinary", 0);
+    t.spot = countOr(v, "spot", 0);
+    t.up = countOr(v, "up", 0);
+    return t;
+}
+
+ClassTerms classIn(const json::Value& v) {
+    ClassTerms c;
+    c.name = textOr(v, "name");
+    c.standing = textOr(v, "shape") == "standing";
+    c.priority = priorityOf(textOr(v, "priority"));
+    c.cores = numberOr(v, "cores", 1);
+    c.ramGb = numberOr(v, "ramGb", 1);
+    c.perMinute = numberOr(v, "perMinute", 0);
+    c.imageGb = numberOr(v, "imageGb", 0.5);
+    c.checkpointS = numberOr(v, "checkpointS", 0);
+    c.saveS = numberOr(v, "saveS", 0);
+    c.deadlineFactor = numberOr(v, "deadlineFactor", 0);
+    c.withdrawn = numberOr(v, "withdrawn", 0);
+    for (unsigned i = 0; i < 2; ++i) {
+        c.tasks.at(i) = v["tasks"][i].GetUint();
+        c.runS.at(i) = v["runS"][i].GetDouble();
+    }
+    c.initial = countOr(v, "initial", 0);
+    c.images = countOr(v, "images", 3);
+    c.spot = json::boolean(v, "spot").value_or(false);
+    c.spread = json::boolean(v, "spread").value_or(false);
+    c.waitS = json::number(v, "waitS");
+    return c;
+}
+
+SiteTerms siteIn(const json::Value& v) {
+    SiteTerms s;
+    s.name = textOr(v, "name");
+    s.nodes = countOr(v, "nodes", 3);
+    s.sockets = countOr(v, "sockets", 2000);
+    s.zones = texts(json::array(v, "zones"));
+    for (const auto& t : v["types"].GetArray()) s.types.push_back(typeIn(t));
+    for (const auto& t : v["teams"].GetArray())
+        s.teams.push_back(
+            {textOr(t, "name"), numberOr(t, "cores", 0), numberOr(t, "coresMax", 0), 0, 0});
+    for (const auto& c : v["classes"].GetArray()) s.classes.push_back(classIn(c));
+    const auto& state = part(v, "state");
+    s.state.rps = numberOr(state, "rps", s.state.rps);
+    s.state.writeRps = numberOr(state, "writeRps", s.state.writeRps);
+    s.state.valueBytes = static_cast<std::size_t>(numberOr(state, "valueKb", 16) * 1024);
+    s.state.txnOps = countOr(state, "txnOps", static_cast<std::uint32_t>(s.state.txnOps));
+    s.state.latency = fromSeconds(numberOr(state, "latencyMs", 4) / 1000);
+    const auto& cloud = part(v, "cloud");
+    s.cloudRps = numberOr(cloud, "rps", s.cloudRps);
+    s.listLagS = numberOr(cloud, "listLagS", s.listLagS);
+    const auto& workers = part(v, "workers");
+    s.reportS = numberOr(workers, "reportS", s.reportS);
+    s.leaseS = numberOr(workers, "leaseS", s.leaseS);
+    s.cancelS = numberOr(workers, "cancelS", s.cancelS);
+    s.restartS = numberOr(v, "restartS", s.restartS);
+    s.clockOffMs = numberOr(v, "clockOffMs", s.clockOffMs);
+    return s;
+}
+
+bool isKind(const std::string& kind) {
+    const auto& all = faultKinds();
+    return std::find(all.begin(), all.end(), kind) != all.end();
+}
+
+std::string wrongIn(const Scenario& s) {
+    for (std::size_t i = 0; i < s.sites.size(); ++i) {
+        const SiteTerms& site = s.sites[i];
+        const std::string at = fmt::format("#/sites/{}", i);
+        for (std::size_t other = 0; other < i; ++other)
+            if (s.sites[other].name == site.name) return at + "/name: expected a name of its own";
+        for (std::size_t c = 0; c < site.classes.size(); ++c) {
+            const ClassTerms& k = site.classes[c];
+            const bool fits = std::any_of(site.types.begin(), site.types.end(), [&](const auto& t) {
+                return t.cores >= k.cores && t.ramGb >= k.ramGb;
+            });
+            if (!fits) return fmt::format("{}/classes/{}: expected a type that a task fits", at, c);
+            if (k.tasks[0] > k.tasks[1] || k.runS[0] > k.runS[1])
+                return fmt::format("{}/classes/{}: expected the lower bound first", at, c);
+        }
+        for (std::size_t t = 0; t < site.types.size(); ++t)
+            if (site.types[t].up > site.types[t].ordinary)
+                return fmt::format("{}/types/{}/up: expected no more than ordinary", at, t);
+        if (site.cancelS <= site.leaseS) return at + "/workers/cancelS: expected more than leaseS";
+    }
+    const auto siteOf = [&](const std::string& name) {
+        return std::find_if(s.sites.begin(), s.sites.end(),
+                            [&](const auto& x) { return x.name == name; });
+    };
+    for (std::size_t i = 0; i < s.faults.size(); ++i) {
+        const Fault& f = s.faults[i];
+        const std::string at = fmt::format("#/faults/{}", i);
+        if (!isKind(f.kind)) return at + "/kind: expected a known kind of fault";
+        if (f.atS > s.seconds) return at + "/atS: expected a time within the run";
+        if (f.site.empty()) continue;
+        const auto site = siteOf(f.site);
+        if (site == s.sites.end()) return at + "/site: expected a known site";
+        if (!f.zone.empty() &&
+            std::find(site->zones.begin(), site->zones.end(), f.zone) == site->zones.end())
+            return at + "/zone: expected a zone of that site";
+        if (!f.jobClass.empty() &&
+            std::none_of(site->classes.begin(), site->classes.end(),
+                         [&](const auto& c) { return c.name == f.jobClass; }))
+            return at + "/class: expected a class of that site";
+    }
+    for (std::size_t i = 0; i < s.swarm.kinds.size(); ++i)
+        if (!isKind(s.swarm.kinds[i]))
+            return fmt::format("#/swarm/kinds/{}: expected a known kind of fault", i);
+    if (s.swarm.toS > s.seconds) return "#/swarm/toS: expected a time within the run";
+    return "";
+}
+
+}  // namespace
+
+const std::vector<std::string>& faultKinds() {
+    static const std::vector<std::string> all{
+        "node_crash",   "node_freeze",  "node_cut",     "node_from_state", "node_from_workers",
+        "node_stutter", "zone_cut",     "zones_apart",  "one_way",         "peers_refuse",
+        "state_outage", "state_late",   "cloud_outage", "boot_trouble",    "machine_die",
+        "machine_hang", "machine_sick", "spot_taken",   "job_burst",       "site_apart"};
+    return all;
+}
+
+std::string Fault::text() const {
+    std::string out = fmt::format(R"({{"atS":{:.3f},"kind":"{}","forS":{:.3f},"count":{})", atS,
+                                  kind, forS, count);
+    if (!site.empty()) out += fmt::format(R"(,"site":"{}")", site);
+    if (!zone.empty()) out += fmt::format(R"(,"zone":"{}")", zone);
+    if (!jobClass.empty()) out += fmt::format(R"(,"class":"{}")", jobClass);
+    if (factor != 1) out += fmt::format(R"(,"factor":{:.2f})", factor);
+    if (leader) out += R"(,"leader":true)";
+    if (reset) out += R"(,"reset":true)";
+    return out + '}';
+}
+
+std::variant<Scenario, std::string> parseScenario(const std::string& text) {
+    const auto doc = json::parse(text);
+    if (!doc) return std::string("not JSON");
+    if (auto error = json::schemaError(*doc, scenarioSchema)) return std::move(*error);
+    Scenario s;
+    s.seconds = numberOr(*doc, "seconds", 60);
+    for (const auto& v : (*doc)["sites"].GetArray()) s.sites.push_back(siteIn(v));
+    if (const auto* faults = json::array(*doc, "faults"))
+        for (const auto& v : faults->GetArray()) {
+            Fault f;
+            f.atS = numberOr(v, "atS", 0);
+            f.forS = numberOr(v, "forS", 10);
+            f.factor = numberOr(v, "factor", 1);
+            f.kind = textOr(v, "kind");
+            f.site = textOr(v, "site");
+            f.zone = textOr(v, "zone");
+            f.jobClass = textOr(v, "class");
+            f.count = countOr(v, "count", 1);
+            f.leader = json::boolean(v, "leader").value_or(false);
+            f.reset = json::boolean(v, "reset").value_or(false);
+            s.faults.push_back(std::move(f));
+        }
+    const auto& swarm = part(*doc, "swarm");
+    s.swarm.fromS = numberOr(swarm, "fromS", 10);
+    s.swarm.toS = numberOr(swarm, "toS", 0);
+    s.swarm.kinds = texts(json::array(swarm, "kinds"));
+    s.swarm.most = countOr(swarm, "most", 6);
+    if (s.swarm.kinds.empty()) s.swarm.kinds = faultKinds();
+    if (auto wrong = wrongIn(s); !wrong.empty()) return wrong;
+    return s;
+}
+
+}  // namespace basaltchute::lab
--- /dev/null
+++ b/src/lab/state_service.cpp
@@ -0,0 +1,200 @@
+#include "lab/state_service.h"
+
+#include <algorithm>
+
+#include "json/json.h"
+
+namespace basaltchute::lab {
+
+using namespace std::chrono_literals;
+
+namespace {
+std::string param(const std::string& target, const std::string& name) {
+    const auto at = target.find(name + '=');
+    if (at == std::string::npos) return "";
+    const auto from = at + name.size() + 1;
+    return target.substr(from, target.find('&', from) - from);
+}
+}  // namespace
+
+StateService::StateService(Loop& loop, Scope& scope, const std::string& address)
+    : StateService(loop, scope, address, Terms{}) {}
+StateService::StateService(Loop& loop, Scope& scope, const std::string& address, Terms terms)
+    : loop_(loop),
+      scope_(scope),
+      terms_(terms),
+      requests_(terms.rps, terms.rps, loop.now()),
+      changes_(terms.writeRps, terms.writeRps, loop.now()),
+      server_(loop, address, {}, [this](http::Request r) { return handle(std::move(r)); }),
+      changed_(loop) {
+    server_.start(scope);
+}
+
+void StateService::erase(const std::string& key) {
+    keys.erase(key);
+    erasedAt_ = ++epoch_;
+    changed_.notify();
+}
+http::Response StateService::forgetGrant(std::uint64_t id) {
+    grants_.erase(id);
+    std::vector<std::string> attached;
+    for (const auto& [k, e] : keys)
+        if (e.grant == id) attached.push_back(k);
+    for (const auto& k : attached) erase(k);
+    return {200, "{}"};
+}
+void StateService::endGrantOf(const std::string& key) {
+    forgetGrant(keys.at(key).grant);
+}
+void StateService::expire() {
+    std::vector<std::uint64_t> ended;
+    for (auto& [id, g] : grants_) {
+        if (down) g.end = loop_.now() + g.life;  // full time again after an outage
+        if (g.end < loop_.now()) ended.push_back(id);
+    }
+    for (const auto id : ended) forgetGrant(id);
+}
+
+http::Response StateService::multi(const std::string& body) {
+    const auto doc = json::parse(body);
+    json::Out out;
+    std::vector<std::string> failed;
+    if ((*doc)["then"].Size() > terms_.txnOps || body.size() > 64 * 1024)
+        return {400, R"({"error":"too large"})"};
+    for (const auto& p : (*doc)["then"].GetArray())
+        if (p.HasMember("data") && json::text(p["data"]).size() > terms_.valueBytes)
+            return {400, R"({"error":"value too large"})"};
+    for (const auto& g : (*doc)["guards"].GetArray()) {
+        const std::string key = g["key"].GetString();
+        const auto it = keys.find(key);
+        if ((it == keys.end() ? 0 : it->second.stamp) != g["stamp"].GetUint64())
+            failed.push_back(key);
+    }
+    // Refused conditions count as well.
+    if (!changes_.take(loop_.now(), static_cast<double>((*doc)["then"].Size())))
+        return {429, R"({"error":"too many changes"})"};
+    if (!failed.empty()) {
+        out.open().key("failed").openArray();
+        for (const auto& k : failed) out.value(k);
+        out.closeArray().field("epoch", epoch_).close();
+        return {409, out.text()};
+    }
+    for (const auto& p : (*doc)["then"].GetArray())
+        if (p.HasMember("hold") && !grants_.contains(p["hold"].GetUint64()))
+            return {400, R"({"error":"no such lease"})"};
+    ++epoch_;
+    for (const auto& p : (*doc)["then"].GetArray()) {
+        if (p.HasMember("delete")) {
+            if (keys.erase(p["delete"].GetString()) > 0) erasedAt_ = epoch_;
+            ++writes;
+            continue;
+        }
+        keys[p["put"].GetString()] = {json::text(p["data"]), epoch_,
+                                      p.HasMember("hold") ? p["hold"].GetUint64() : 0};
+        ++writes;
+        if (onPut) onPut(p["put"].GetString(), keys[p["put"].GetString()].data);
+    }
+    changed_.notify();
+    out.open().field("epoch", epoch_).close();
+    return {200, out.text()};
+}
+
+Task<http::Response> StateService::watch(std::string target) {
+    const auto after = std::stoull(param(target, "after"));
+    ++watches;
+    if (after < oldest_) co_return http::Response{410, "{}"};
+    const std::string prefix = param(target, "under");
+    const TimePoint until =
+        loop_.now() + std::chrono::milliseconds(std::stol(param(target, "waitMs")));
+    const auto changed = [&] {
+        return erasedAt_ > after || std::any_of(keys.begin(), keys.end(), [&](const auto& k) {
+                   return k.first.starts_with(prefix) && k.second.stamp > after;
+               });
+    };
+    std::uint64_t looked = 0;
+    while (loop_.now() < until && !scope_.cancelled()) {
+        if (!down && std::exchange(looked, epoch_) != epoch_ && changed()) break;
+        co_await loop_.wait(changed_, std::min(until, loop_.now() + 50ms), scope_);
+        expire();
+    }
+    co_return http::Response{200, R"({"epoch":1,"log":[]})"};
+}
+
+http::Response StateService::list(const std::string& target) {
+    const std::string prefix = param(target, "under"), after = param(target, "after");
+    const std::string page = param(target, "page");
+    const std::size_t most = page.empty() ? 1000 : std::stoul(page);
+    json::Out out;
+    out.open().key("pairs").openArray();
+    std::size_t bytes = 0, items = 0;
+    bool more = false;
+    for (auto k = after.empty() ? keys.lower_bound(prefix) : keys.upper_bound(after);
+         k != keys.end() && k->first.starts_with(prefix); ++k) {
+        bytes += k->first.size() + k->second.data.size() + 40;
+        if (items++ >= most || bytes > 512 * 1024) {
+            more = true;
+            break;
+        }
+        out.open().field("key", k->first).key("data").raw(k->second.data);
+        out.field("stamp", k->second.stamp).close();
+    }
+    out.closeArray().field("truncated", more).field("epoch", epoch_).close();
+    return {200, out.text()};
+}
+
+Task<http::Response> StateService::handle(http::Request r) {
+    const Fault f = fault ? fault(r) : Fault{};
+    if (terms_.latency > Duration::zero()) co_await loop_.sleep(terms_.latency, scope_);
+    if (f.kind == Fault::Kind::refused) co_return http::Response{503, R"({"error":"trouble"})"};
+    if (f.kind == Fault::Kind::late) co_await loop_.sleep(f.late, scope_);
+    auto response = co_await serve(std::move(r));
+    if (f.kind == Fault::Kind::slow) {
+        co_await loop_.sleep(f.late, scope_);
+        co_return response;
+    }
+    // Whoever asked has given up long before.
+    if (f.kind != Fault::Kind::none) co_await loop_.sleep(std::chrono::minutes(1), scope_);
+    co_return response;
+}
+
+Task<http::Response> StateService::serve(http::Request r) {
+    expire();
+    if (r.target.starts_with("/watch")) {
+        auto response = co_await watch(std::move(r.target));
+        co_return response;
+    }
+    if (down) co_return http::Response{503, R"({"error":"trouble"})"};
+    if (!requests_.take(loop_.now())) co_return http::Response{429, R"({"error":"too many"})"};
+    json::Out out;
+    if (r.target == "/multi") co_return multi(r.body);
+    if (r.target == "/grants") {
+        const auto doc = json::parse(r.body);
+        const Duration life = std::chrono::milliseconds((*doc)["lifeMs"].GetInt64());
+        grants_[nextGrant_] = {life, loop_.now() + life};
+        out.open().field("hold", nextGrant_++).close();
+        co_return http::Response{200, out.text()};
+    }
+    if (r.target.starts_with("/grants/")) {
+        const auto id = std::stoull(r.target.substr(8));
+        if (!grants_.contains(id)) co_return http::Response{404, "{}"};
+        if (r.method == "DELETE") co_return forgetGrant(id);
+        grants_[id].end = loop_.now() + grants_[id].life;
+        co_return http::Response{200, "{}"};
+    }
+    if (r.target.starts_with("/keys?")) co_return list(r.target);
+    const std::string key = r.target.substr(6);
+    const auto it = keys.find(key);
+    if (it == keys.end()) {
+        out.open().field("epoch", epoch_).close();
+        co_return http::Response{404, out.text()};
+    }
+    out.open()
+        .field("key", key)
+        .key("data")
+        .raw(it->second.data)
+        .field("stamp", it->second.stamp)
+        .close();
+    co_return http::Response{200, out.text()};
+}
+
+}  // namespace basaltchute::lab
--- /dev/null
+++ b/src/lab/state_service.h
@@ -0,0 +1,71 @@
+#pragma once
+#include <functional>
+#include <map>
+#include <string>
+
+#include "http/server.h"
+#include "runtime/budget.h"
+
+namespace basaltchute::lab {
+
+/// The state service by its published protocol, with its limits and with what goes wrong.
+class StateService {
+  public:
+    struct Terms {
+        double rps = 1e9, writeRps = 1e9;  // a second; bursts of one second's worth
+        std::size_t valueBytes = SIZE_MAX, txnOps = SIZE_MAX;
+        Duration latency{};
+    };
+    /// On any loop; routines belong to `scope`.
+    StateService(Loop& loop, Scope& scope, const std::string& address = "127.0.0.1:0");
+    StateService(Loop& loop, Scope& scope, const std::string& address, Terms terms);
+    [[nodiscard]] std::string address() const { return server_.address(); }
+    struct Entry {
+        std::string data;
+        std::uint64_t stamp = 0, grant = 0;
+    };
+    std::map<std::string, Entry> keys;
+    bool down = false;
+    int writes = 0, watches = 0;
+    /// What goes wrong with a request: refused, executed without an answer, executed late, or
+    /// answered late.
+    struct Fault {
+        enum class Kind { none, refused, mute, late, slow } kind = Kind::none;
+        Duration late{};
+    };
+    std::function<Fault(const http::Request&)> fault;
+    /// A key was put.
+    std::function<void(const std::string& key, const std::string& data)> onPut;
+    /// Other changes, after which the service no longer knows what came before them.
+    void changeElsewhere(std::uint64_t times) {
+        epoch_ += times;
+        oldest_ = epoch_ - 1;
+    }
+    /// Ends the grant that holds a key, as if its time had run out.
+    void endGrantOf(const std::string& key);
+
+  private:
+    Task<http::Response> handle(http::Request request);
+    Task<http::Response> serve(http::Request request);
+    http::Response multi(const std::string& body);
+    http::Response list(const std::string& target);
+    Task<http::Response> watch(std::string target);
+    void expire();
+    void erase(const std::string& key);
+    http::Response forgetGrant(std::uint64_t id);
+
+    Loop& loop_;
+    Scope& scope_;
+    Terms terms_;
+    Budget requests_, changes_;
+    http::Server server_;
+    Event changed_;
+    std::uint64_t epoch_ = 1, nextGrant_ = 1, erasedAt_ = 0, oldest_ = 0;
+    struct Grant {
+        Duration life{};
+        TimePoint end{};
+    };
+    std::map<std::uint64_t, Grant> grants_;
+};
+
+}  // namespace basaltchute::lab
--- /dev/null
+++ b/src/lab/users.cpp
@@ -0,0 +1,241 @@
+#include "lab/users.h"
+
+#include <algorithm>
+
+#include "json/json.h"
+
+namespace basaltchute::lab {
+
+using namespace std::chrono_literals;
+
+namespace {
+constexpr Duration accepting = 500ms;  // the load balancer waits so long for a connection
+constexpr double tryingS = 60;         // users go on trying
+const char* wordOf(Priority p) {
+    switch (p) {
+        case Priority::production:
+            return "production";
+        case Priority::high:
+            return "high";
+        case Priority::normal:
+            return "normal";
+        default:
+            return "low";
+    }
+}
+}  // namespace
+
+std::string submissionOf(const JobSpec& s) {
+    json::Out o;
+    o.open().field("ref", s.id).field("category", s.jobClass).field("crew", s.team);
+    o.field("shape", s.shape == Shape::service ? "standing" : "array");
+    o.field("rank", wordOf(s.priority)).field("splits", s.tasks).field("cores", s.demand.cores);
+    o.field("gpus", s.demand.gpus).field("ramGb", s.demand.ramGb).field("build", s.image);
+    o.field("sizeGb", s.imageGb).key("rigs");
+    if (!s.types) {
+        o.null();
+    } else {
+        o.openArray();
+        for (const auto& t : *s.types) o.value(t);
+        o.closeArray();
+    }
+    o.key("hall");
+    if (s.zone)
+        o.value(*s.zone);
+    else
+        o.null();
+    o.field("together", s.oneZone).field("spread", s.spread).field("loaners", s.spotAllowed);
+    o.field("parS", s.estimateS).field("savepointS", s.checkpointS).field("flushS", s.saveS);
+    o.key("cutoffS");
+    if (s.deadlineS)
+        o.value(*s.deadlineS);
+    else
+        o.null();
+    o.close();
+    return o.text();
+}
+
+Balancer::Balancer(Timeline& time, Loop& loop, Scope& scope, std::vector<std::string> nodes)
+    : time_(time), loop_(loop), scope_(scope) {
+    for (auto& a : nodes) {
+        nodes_.emplace_back();
+        nodes_.back().address = std::move(a);
+    }
+    for (std::size_t i = 0; i < nodes_.size(); ++i) scope_.spawn(probe(i));
+}
+
+void Balancer::took(Node& n, bool well) {
+    n.probes.push_back(well);
+    if (n.probes.size() > 6) n.probes.pop_front();
+    n.good = well ? n.good + 1 : 0;
+    n.bad = well ? 0 : n.bad + 1;
+    const auto bad = std::count(n.probes.begin(), n.probes.end(), false);
+    if (n.healthy && (n.bad >= 2 || bad >= 3)) {
+        n.healthy = false;
+        n.pause = loop_.now() - n.removedAt < 2min ? std::min<Duration>(n.pause * 2, 60s) : 3s;
+        n.removedAt = loop_.now();
+        n.notBefore = loop_.now() + n.pause;
+    } else if (!n.healthy && loop_.now() >= n.notBefore && n.good >= (n.ever ? 2 : 1)) {
+        n.healthy = n.ever = true;
+        n.probes.clear();
+    }
+}
+
+Task<void> Balancer::probe(std::size_t node) {
+    http::Client client(loop_, nodes_[node].address, 0);
+    while (!scope_.cancelled()) {
+        http::Request request{"GET", "/up", ""};
+        const auto o = co_await client.request(std::move(request), 1s, scope_);
+        if (scope_.cancelled()) co_return;
+        took(nodes_[node], o.answered && o.response.status == 200);
+        co_await loop_.sleep(fromSeconds(time_.between(0.9, 1.1)), scope_);
+    }
+}
+
+std::vector<std::size_t> Balancer::choose() {
+    std::vector<std::pair<double, std::size_t>> order;
+    for (std::size_t i = 0; i < nodes_.size(); ++i)
+        if (nodes_[i].healthy && loop_.now() >= nodes_[i].skipUntil)
+            order.emplace_back(nodes_[i].open + time_.between(0, 3), i);
+    std::sort(order.begin(), order.end());
+    std::vector<std::size_t> out;
+    for (const auto& [load, i] : order)
+        if (out.size() < 3) out.push_back(i);
+    return out;
+}
+
+void Balancer::failed(std::size_t node) {
+    Node& n = nodes_[node];
+    if (++n.failures < 3) return;
+    n.failures = 0;
+    n.skipUntil = loop_.now() + 3s;
+}
+
+Users::Users(Timeline& time, Machine& machine, std::vector<std::string> nodes, History& history)
+    : time_(time),
+      machine_(machine),
+      loop_(machine.boot()),
+      scope_(loop_),
+      balancer_(time, loop_, scope_, std::move(nodes)),
+      history_(history) {}
+
+void Users::end() {
+    machine_.cutOff();
+    machine_.unwind(scope_);
+}
+
+void Users::say(Fact::Kind kind, const std::string& job, Fact::Question question, int status,
+                std::string word) {
+    Fact e;
+    e.at = time_.seconds();
+    e.kind = kind;
+    e.site = machine_.site;
+    e.job = job;
+    e.question = question;
+    e.status = status;
+    e.word = std::move(word);
+    history_.facts.push_back(std::move(e));
+}
+
+http::Request Users::request(const std::string& job, Fact::Question question) const {
+    switch (question) {
+        case Fact::Question::poll:
+            return {"GET", "/v1/jobs/" + job, ""};
+        case Fact::Question::withdrawal:
+            return {"POST", "/v1/jobs/" + job + "/withdraw", ""};
+        default:
+            return {"POST", "/v1/jobs", submissionOf(history_.jobs.at(job))};
+    }
+}
+
+Task<std::optional<http::Response>> Users::ask(std::string job, Fact::Question question,
+                                               Duration patience) {
+    const TimePoint until = loop_.now() + patience;
+    say(Fact::Kind::asked, job, question);
+    for (const std::size_t node : balancer_.choose()) {
+        const auto to = parseAddress(balancer_.address(node));
+        auto socket =
+            co_await Socket::connect(loop_, *to, std::min(until, loop_.now() + accepting), scope_);
+        if (!socket) {
+            balancer_.failed(node);
+            continue;
+        }
+        socket.reset();
+        http::Client client(loop_, balancer_.address(node), 0);
+        balancer_.opened(node);
+        http::Request r = request(job, question);
+        auto o = co_await client.request(std::move(r), until - loop_.now(), scope_);
+        balancer_.closed(node);
+        if (!o.answered) break;
+        const auto doc = json::parse(o.response.body);
+        const bool known = o.response.status == 200 || o.response.status == 201;
+        say(Fact::Kind::told, job, question, o.response.status,
+            known && doc ? json::string(*doc, "status").value_or("?") : "");
+        co_return std::move(o.response);
+    }
+    co_return std::nullopt;
+}
+
+void Users::submit(Wish wish) {
+    const std::string id = wish.spec.id;
+    history_.jobs[id] = wish.spec;
+    say(Fact::Kind::submitted, id, Fact::Question::submission);
+    scope_.spawn(follow(std::move(wish)));
+}
+
+Task<bool> Users::withdraw(std::string job) {
+    say(Fact::Kind::withdrew, job, Fact::Question::withdrawal);
+    while (!scope_.cancelled()) {
+        const auto r = co_await ask(job, Fact::Question::withdrawal, 5s);
+        if (r && r->status == 200) co_return true;
+        if (r && r->status == 404) co_return false;
+        co_await loop_.sleep(std::max<Duration>(1s, std::chrono::seconds(r ? r->retryAfterS : 0)),
+                             scope_);
+    }
+    co_return false;
+}
+
+Task<void> Users::follow(Wish wish) {
+    const std::string id = wish.spec.id;
+    const TimePoint since = loop_.now();
+    bool accepted = false;
+    while (!accepted && !scope_.cancelled()) {
+        const auto r = co_await ask(id, Fact::Question::submission, 5s);
+        if (r && (r->status == 200 || r->status == 201)) accepted = true;
+        if (r && (r->status == 400 || r->status == 422)) co_return;
+        if (accepted) break;
+        const Duration later = std::max<Duration>(1s, std::chrono::seconds(r ? r->retryAfterS : 0));
+        if (toSeconds(loop_.now() + later - since) > tryingS) co_return;
+        co_await loop_.sleep(later, scope_);
+    }
+    const TimePoint at = loop_.now();
+    bool final = false, repeated = false;
+    while (!final && !scope_.cancelled() && toSeconds(loop_.now() - at) < wish.patienceS) {
+        co_await loop_.sleep(fromSeconds(time_.between(4.5, 5.5)), scope_);
+        if (scope_.cancelled()) co_return;
+        if (wish.withdrawAfterS && toSeconds(loop_.now() - at) > *wish.withdrawAfterS) {
+            wish.withdrawAfterS.reset();
+            co_await withdraw(id);
+        }
+        if (wish.repeatAfterS && !repeated && toSeconds(loop_.now() - at) > *wish.repeatAfterS) {
+            repeated = true;
+            co_await ask(id, Fact::Question::repetition, 5s);
+        }
+        const auto r = co_await ask(id, Fact::Question::poll, 2s);
+        const auto doc = r && r->status == 200 ? json::parse(r->body) : std::nullopt;
+        const auto status = doc ? json::string(*doc, "status") : std::nullopt;
+        final = status && (*status == "done" || *status == "cancelled");
+    }
+    // And once more at some later time: what was final stays so.
+    co_await loop_.sleep(fromSeconds(time_.between(5, 40)), scope_);
+    if (!scope_.cancelled() && final) co_await ask(id, Fact::Question::poll, 2s);
+}
+
+void Users::askForNothing() {
+    scope_.spawn(strayPoll("stray-" + std::to_string(++strays_)));
+}
+Task<void> Users::strayPoll(std::string id) {
+    co_await ask(std::move(id), Fact::Question::poll, 2s);
+}
+
+}  // namespace basaltchute::lab
--- /dev/null
+++ b/src/lab/users.h
@@ -0,0 +1,82 @@
+#pragma once
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "http/client.h"
+#include "lab/history.h"
+#include "lab/network.h"
+
+namespace basaltchute::lab {
+
+/// The load balancer of a site: which node a new connection goes to, by probes of `/up`.
+class Balancer {
+  public:
+    Balancer(Timeline& time, Loop& loop, Scope& scope, std::vector<std::string> nodes);
+    /// Up to three healthy nodes to try, the first to be preferred.
+    std::vector<std::size_t> choose();
+    void failed(std::size_t node);
+    void opened(std::size_t node) { ++nodes_[node].open; }
+    void closed(std::size_t node) { --nodes_[node].open; }
+    [[nodiscard]] const std::string& address(std::size_t node) const {
+        return nodes_[node].address;
+    }
+
+  private:
+    struct Node {
+        std::string address;
+        bool healthy = false, ever = false;
+        int open = 0, failures = 0, good = 0, bad = 0;
+        std::deque<bool> probes;
+        TimePoint notBefore{}, skipUntil{}, removedAt{};
+        Duration pause = std::chrono::seconds(3);
+    };
+    Task<void> probe(std::size_t node);
+    void took(Node& node, bool well);
+    Timeline& time_;
+    Loop& loop_;
+    Scope& scope_;
+    std::vector<Node> nodes_;
+};
+
+/// The users of a site, by the published protocol: each job has one, who submits it, repeats that
+/// until it is answered, polls, and perhaps withdraws it.
+class Users {
+  public:
+    Users(Timeline& time, Machine& machine, std::vector<std::string> nodes, History& history);
+    struct Wish {
+        JobSpec spec;
+        std::optional<double> withdrawAfterS;  // once it is accepted
+        std::optional<double> repeatAfterS;    // submits it once more, long after
+        double patienceS = 1e9;                // stops polling
+    };
+    void submit(Wish wish);
+    /// Somebody asks about a job that nobody has submitted.
+    void askForNothing();
+    void end();
+
+  private:
+    Task<void> follow(Wish wish);
+    Task<void> strayPoll(std::string id);
+    /// Nothing if no node answered in time.
+    Task<std::optional<http::Response>> ask(std::string job, Fact::Question question,
+                                            Duration patience);
+    Task<bool> withdraw(std::string job);
+    void say(Fact::Kind kind, const std::string& job, Fact::Question question, int status = 0,
+             std::string word = "");
+    [[nodiscard]] http::Request request(const std::string& job, Fact::Question question) const;
+
+    Timeline& time_;
+    Machine& machine_;
+    Loop& loop_;
+    Scope scope_;
+    Balancer balancer_;
+    History& history_;
+    std::uint64_t strays_ = 0;
+};
+
+/// A submission as users send it.
+std::string submissionOf(const JobSpec& spec);
+
+}  // namespace basaltchute::lab
--- /dev/null
+++ b/src/lab/worker.h
@@ -0,0 +1,91 @@
+#pragma once
+#include <map>
+#include <memory>
+#include <set>
+
+#include "http/client.h"
+#include "http/server.h"
+#include "json/json.h"
+#include "lab/cloud.h"
+#include "lab/history.h"
+#include "workers/report.h"
+
+namespace basaltchute::lab {
+
+/// What the workers of a site know alike, and what is stored outside of their machines.
+struct WorkerTerms {
+    Duration report{}, lease{};
+    std::vector<std::pair<std::string, std::string>> nodes;  // name and address of controllers
+    std::map<std::string, double> progress;                  // saved seconds, by task
+    std::set<std::string> results;                           // tasks that are done
+    std::map<std::string, double> runS;                      // true run time, by job
+};
+
+/// A worker by its published protocol, on a machine of its own.
+class Worker {
+  public:
+    Worker(Timeline& time, Machine& machine, Cloud::Host host, TypeTerms type, WorkerTerms& terms,
+           History& history);
+    /// The machine and all that is on it is gone; `power`: its connections are reset.
+    void kill(bool power);
+    /// It does not execute its tasks and says nothing, and goes on later.
+    void hang(Duration span) { machine_.freeze(span); }
+    void recall(Duration notice);
+    void setSick(bool sick) { sick_ = sick; }
+    [[nodiscard]] bool gone() const { return gone_; }
+    [[nodiscard]] const Cloud::Host& host() const { return host_; }
+
+  private:
+    struct Held {
+        std::string job;
+        std::uint32_t task = 0;
+        Attempt attempt = 0;
+        workers::TaskStatus status = workers::TaskStatus::pulling;
+        workers::ExitCause cause = workers::ExitCause::other;
+        bool stored = false;
+        bool on = false;
+        TimePoint since{};         // running
+        std::uint64_t serial = 0;  // changes when something else is to become of it
+        [[nodiscard]] std::string id() const { return job + '/' + std::to_string(task); }
+    };
+    using Key = std::pair<std::string, Attempt>;  // task and attempt
+    [[nodiscard]] TimePoint now() const { return machine_.clock().now(); }
+    Task<void> beat();
+    Task<http::Response> serve(http::Request request);
+    Task<void> run(Key key, std::uint64_t serial);
+    Task<void> save(Key key, std::uint64_t serial, Duration span);
+    [[nodiscard]] std::string report();
+    void execute(const json::Value& answer);
+    void launch(const std::string& job, std::uint32_t task, Attempt attempt);
+    void stop(const Key& key, Duration grace);
+    void end(Held& held, workers::ExitCause cause, bool stored);
+    Held* find(const Key& key, std::uint64_t serial);
+    void renew(TimePoint sentAt);
+    void endSession();
+    void change() {
+        changed_ = true;
+        wake_.notify();
+    }
+    void say(Fact::Kind kind, const Held& held);
+
+    Timeline& time_;
+    Machine& machine_;
+    Cloud::Host host_;
+    TypeTerms type_;
+    WorkerTerms& terms_;
+    History& history_;
+    Loop& loop_;
+    Scope scope_;
+    basaltchute::Event wake_;
+    std::unique_ptr<http::Server> server_;
+    std::map<Key, Held> held_;
+    std::map<std::string, TimePoint> images_;  // by when each is there
+    std::uint64_t session_ = 1, sequence_ = 0, serials_ = 0;
+    Token token_ = 0;
+    TimePoint leaseEnd_{}, tokenToldAt_{};
+    std::optional<TimePoint> notice_;
+    bool sick_ = false, gone_ = false, changed_ = false;
+    std::size_t node_ = 0;
+};
+
+}  // namespace basaltchute::lab
--- /dev/null
+++ b/src/lab/world.cpp
@@ -0,0 +1,415 @@
+#include "lab/world.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "json/json.h"
+
+namespace basaltchute::lab {
+
+using namespace std::chrono_literals;
+
+namespace {
+constexpr double settles = 60;  // seconds after the last trouble
+constexpr double arrivalStep = 0.25;
+}  // namespace
+
+World::World(const Scenario& scenario, std::uint64_t seed)
+    : scenario_(scenario), time_(seed), network_(time_) {
+    for (const auto& terms : scenario_.sites) {
+        sites_.push_back(std::make_unique<Site>());
+        sites_.back()->terms = terms;
+        sites_.back()->number = sites_.size();
+        rules_.cancelS = std::max(rules_.cancelS, terms.cancelS);
+        for (const auto& t : terms.teams) {
+            // A team that several sites name has what they give it together, as long as nothing
+            // holds its limit over all of them.
+            auto& sum =
+                rules_.teams.try_emplace(t.name, settings::Team{t.name, 0, 0, 0, 0}).first->second;
+            sum.cores += t.cores;
+            sum.coresMax += t.coresMax;
+        }
+    }
+    faults_ = scenario_.faults;
+    if (scenario_.swarm.toS > scenario_.swarm.fromS) draw(scenario_.swarm);
+    double last = 0;
+    for (const auto& f : faults_) last = std::max(last, f.atS + f.forS);
+    rules_.settledS = last + settles;
+    rules_.untilS = scenario_.seconds - 20;
+    for (auto& s : sites_) build(*s);
+}
+
+World::~World() {
+    for (auto& s : sites_) {
+        for (auto& n : s->nodes) stop(*n);
+        for (auto& [name, w] : s->workers) w->kill(true);
+        s->people->end();
+        s->services->cutOff();
+        s->services->unwind(*s->scope);
+    }
+}
+
+std::unique_ptr<Machine> World::machine(const std::string& name, const std::string& address,
+                                        const std::string& zone, const Site& site) {
+    // Clocks of two machines drift apart by 0.05% at most.
+    return std::make_unique<Machine>(network_, name, address, zone, site.terms.name,
+                                     time_.between(0, 0.0005),
+                                     fromSeconds(time_.between(0, site.terms.clockOffMs) / 1000));
+}
+
+void World::build(Site& s) {
+    const std::string net = fmt::format("10.{}.", s.number);
+    const std::string state = net + "1.1:2379", cloud = net + "1.1:8443";
+    s.services = machine("services", net + "1.1", "", s);
+    Loop& loop = s.services->boot();
+    s.scope = std::make_unique<Scope>(loop);
+    s.state = std::make_unique<StateService>(loop, *s.scope, state, s.terms.state);
+    s.state->onPut = [this, &s](const std::string& key, const std::string& data) {
+        if (key != "lead/holder") return;
+        const auto doc = json::parse(data);
+        Fact e;
+        e.at = time_.seconds();
+        e.kind = Fact::Kind::elected;
+        e.site = s.terms.name;
+        e.word = json::string(*doc, "node").value_or("?");
+        e.number = json::count(*doc, "token").value_or(0);
+        history_.facts.push_back(std::move(e));
+    };
+    s.workerTerms.report = fromSeconds(s.terms.reportS);
+    s.workerTerms.lease = fromSeconds(s.terms.leaseS);
+    std::vector<std::string> addresses;
+    for (std::size_t i = 0; i < s.terms.nodes; ++i) {
+        auto n = std::make_unique<Node>();
+        settings::Settings& x = n->settings;
+        const std::string ip = fmt::format("{}0.{}", net, 10 + i);
+        x.node = fmt::format("{}-{}", s.terms.name, i);
+        x.zone = s.terms.zones[i % s.terms.zones.size()];
+        x.listen = ip + ":8080";
+        x.meshListen = ip + ":8081";
+        x.state = state;
+        x.cloud = cloud;
+        x.zones = s.terms.zones;
+        x.teams = s.terms.teams;
+        for (const auto& c : s.terms.classes) {
+            if (c.waitS) x.objectives.push_back({"wait", c.name, fromSeconds(*c.waitS), 0.9, 1});
+            if (c.deadlineFactor > 0) x.objectives.push_back({"deadline", c.name, {}, 0.98, 1});
+        }
+        x.reportEvery = s.workerTerms.report;
+        x.lease = s.workerTerms.lease;
+        x.cancelWithin = fromSeconds(s.terms.cancelS);
+        x.stateRps = s.terms.state.rps;
+        x.stateWriteRps = s.terms.state.writeRps;
+        x.valueBytes = s.terms.state.valueBytes;
+        x.txnOps = s.terms.state.txnOps;
+        x.cloudRps = s.terms.cloudRps;
+        x.listLag = fromSeconds(s.terms.listLagS);
+        x.sockets = s.terms.sockets;
+        n->machine = machine(x.node, ip, x.zone, s);
+        s.workerTerms.nodes.emplace_back(x.node, x.listen);
+        addresses.push_back(x.listen);
+        s.nodes.push_back(std::move(n));
+    }
+    for (auto& n : s.nodes)
+        for (auto& other : s.nodes)
+            if (n != other)
+                n->settings.peers.push_back(
+                    {other->settings.node, other->settings.zone, other->settings.meshListen});
+    s.users = machine("users", net + "1.2", "", s);
+    s.people = std::make_unique<Users>(time_, *s.users, addresses, history_);
+
+    Cloud::Terms terms{s.terms.cloudRps, fromSeconds(s.terms.listLagS), s.terms.zones,
+                       s.terms.types};
+    s.cloud = std::make_unique<Cloud>(
+        time_, loop, *s.scope, cloud, terms,
+        Cloud::Hooks{
+            [&s] { return fmt::format("{}-n-{:06}", s.terms.name, ++s.named); },
+            [&s, net] {
+                return fmt::format("{}{}.{}:9000", net, 16 + s.named / 250, 1 + s.named % 250);
+            },
+            [this, &s](const Cloud::Host& h) {
+                const auto type = std::find_if(s.terms.types.begin(), s.terms.types.end(),
+                                               [&](const auto& t) { return t.name == h.type; });
+                s.machines.push_back(
+                    machine(h.name, h.address.substr(0, h.address.rfind(':')), h.zone, s));
+                s.workers[h.name] = std::make_unique<Worker>(time_, *s.machines.back(), h, *type,
+                                                             s.workerTerms, history_);
+            },
+            [&s](const Cloud::Host& h) {
+                if (const auto w = s.workers.find(h.name); w != s.workers.end())
+                    w->second->kill(true);
+            }});
+    for (const auto& t : s.terms.types)
+        for (const auto& z : s.terms.zones)
+            for (std::uint32_t i = 0; i < t.up; ++i) s.cloud->addRunning(t.name, z);
+    for (auto& n : s.nodes) start(*n);
+    for (const auto& c : s.terms.classes)
+        for (std::uint32_t i = 0; i < c.initial; ++i)
+            time_.after(fromSeconds(time_.between(2, 4)), [this, &s, &c] { submit(s, c); });
+    arrive(s);
+}
+
+void World::start(Node& n) {
+    Loop& loop = n.machine->boot(n.settings.sockets);
+    n.controller = std::make_unique<app::Controller>(loop, n.settings, settings::Operator{},
+                                                     std::to_string(time_.random()()));
+    n.controller->start();
+}
+
+void World::stop(Node& n) {
+    if (!n.controller) return;
+    n.machine->cutOff();
+    Loop& loop = n.machine->loop();
+    bool ended = false;
+    loop.spawn([](app::Controller& c, bool& flag) -> Task<void> {
+        co_await c.abandon();
+        flag = true;
+    }(*n.controller, ended));
+    for (int rounds = 0; !ended; ++rounds) {
+        if (rounds > 100'000) throw std::runtime_error(n.settings.node + " does not end");
+        loop.turn(Duration::zero());
+    }
+    n.controller.reset();
+    n.machine->halt();
+}
+
+void World::crash(Site& s, Node& n, double backS) {
+    if (!n.controller) return;
+    stop(n);
+    time_.after(fromSeconds(backS), [this, &s, &n] {
+        (void)s;
+        if (!n.controller) start(n);
+    });
+}
+
+// Load
+
+void World::arrive(Site& s) {
+    for (const auto& c : s.terms.classes) {
+        const auto times = s.load.find(c.name);
+        const double rate =
+            c.perMinute / 60 * arrivalStep * (times == s.load.end() ? 1 : times->second);
+        auto n = rate > 0 ? std::poisson_distribution<int>(rate)(time_.random()) : 0;
+        for (; n > 0; --n)
+            time_.after(fromSeconds(time_.between(0, arrivalStep)),
+                        [this, &s, &c] { submit(s, c); });
+    }
+    if (time_.chance(0.02)) s.people->askForNothing();
+    time_.after(fromSeconds(arrivalStep), [this, &s] { arrive(s); });
+}
+
+void World::submit(Site& s, const ClassTerms& c) {
+    Users::Wish wish;
+    JobSpec& j = wish.spec;
+    j.id = fmt::format("run-{:06}", ++jobs_);
+    j.jobClass = c.name;
+    const auto pick = [&](std::size_t n) {
+        return std::min(n - 1, static_cast<std::size_t>(time_.between(0, static_cast<double>(n))));
+    };
+    j.team = s.terms.teams[pick(s.terms.teams.size())].name;
+    j.shape = c.standing ? Shape::service : Shape::array;
+    j.priority = c.priority;
+    j.tasks = c.tasks[0] + static_cast<std::uint32_t>(pick(c.tasks[1] - c.tasks[0] + 1));
+    j.demand = {c.cores, 0, c.ramGb};
+    const std::size_t image = pick(c.images);
+    j.image = fmt::format("{}-{}", c.name, image);
+    j.imageGb = c.imageGb;
+    j.spread = c.spread;
+    j.spotAllowed = c.spot;
+    const double run = time_.between(c.runS[0], c.runS[1]);
+    s.workerTerms.runS[j.id] = run;
+    if (c.standing) {
+        wish.withdrawAfterS = run;
+    } else {
+        j.estimateS = run * time_.between(0.6, 1.6);
+        j.checkpointS = c.checkpointS;
+        j.saveS = c.saveS;
+        if (c.deadlineFactor > 0) j.deadlineS = j.estimateS * c.deadlineFactor + 10;
+        if (time_.chance(c.withdrawn)) wish.withdrawAfterS = time_.between(0, run * 2);
+    }
+    if (time_.chance(0.1)) wish.repeatAfterS = time_.between(1, run * 2);
+    s.people->submit(std::move(wish));
+}
+
+// Troubles
+
+void World::draw(const Swarm& swarm) {
+    // Which kinds this seed has at all: rare combinations come up that way.
+    std::vector<std::string> on;
+    for (const auto& k : swarm.kinds)
+        if (time_.chance(0.4)) on.push_back(k);
+    if (on.empty()) on = swarm.kinds;
+    const auto n = 1 + static_cast<std::uint32_t>(time_.between(0, swarm.most));
+    for (std::uint32_t i = 0; i < n; ++i) {
+        Fault f;
+        f.kind = on[static_cast<std::size_t>(time_.between(0, static_cast<double>(on.size())))];
+        f.atS = time_.between(swarm.fromS, swarm.toS);
+        const bool ends = f.kind == "node_crash";
+        f.forS = ends ? std::exp(time_.between(std::log(0.1), std::log(10.0)))
+                      : std::exp(time_.between(std::log(0.5), std::log(45.0)));
+        f.count = 1 + static_cast<std::uint32_t>(std::exp(time_.between(0, 2.5)));
+        f.factor = time_.between(2, 8);
+        f.leader = time_.chance(0.5);
+        f.reset = time_.chance(0.5);
+        const Site& site =
+            *sites_[static_cast<std::size_t>(time_.between(0, static_cast<double>(sites_.size())))];
+        f.site = site.terms.name;
+        const auto& zones = site.terms.zones;
+        f.zone =
+            zones[static_cast<std::size_t>(time_.between(0, static_cast<double>(zones.size())))];
+        const auto& classes = site.terms.classes;
+        f.jobClass =
+            classes[static_cast<std::size_t>(time_.between(0, static_cast<double>(classes.size())))]
+                .name;
+        faults_.push_back(std::move(f));
+    }
+}
+
+void World::run() {
+    for (std::size_t i = 0; i < faults_.size(); ++i) {
+        if (kept_ && !kept_->contains(i)) continue;
+        time_.at(Timeline::start() + fromSeconds(faults_[i].atS),
+                 [this, f = faults_[i]] { apply(f); });
+    }
+    network_.run(Timeline::start() + fromSeconds(scenario_.seconds));
+}
+
+void World::apply(const Fault& f) {
+    Fact e;
+    e.at = time_.seconds();
+    e.site = f.site;
+    e.word = f.text();
+    history_.facts.push_back(std::move(e));
+    if (f.kind == "site_apart")
+        return cutFor(f, [](const Machine& a, const Machine& b) { return a.site != b.site; });
+    for (auto& s : sites_)
+        if (f.site.empty() || s->terms.name == f.site) applyTo(*s, f);
+}
+
+void World::cutFor(const Fault& f, Network::Between between) {
+    const std::uint64_t cut = network_.cut(std::move(between));
+    time_.after(fromSeconds(f.forS), [this, cut, reset = f.reset] { network_.heal(cut, reset); });
+}
+
+std::vector<World::Node*> World::some(Site& s, const Fault& f) {
+    std::vector<Node*> up;
+    for (auto& n : s.nodes)
+        if (n->controller) up.push_back(n.get());
+    std::shuffle(up.begin(), up.end(), time_.random());
+    if (const auto held = s.state->keys.find("lead/holder");
+        f.leader && held != s.state->keys.end())
+        std::stable_partition(up.begin(), up.end(), [&](const Node* n) {
+            return held->second.data.find('"' + n->settings.node + '"') != std::string::npos;
+        });
+    if (up.size() > f.count) up.resize(f.count);
+    return up;
+}
+
+std::vector<Worker*> World::someWorkers(Site& s, std::uint32_t count, bool spotOnly) {
+    std::vector<Worker*> up;
+    for (auto& [name, w] : s.workers)
+        if (!w->gone() && (!spotOnly || w->host().spot)) up.push_back(w.get());
+    std::shuffle(up.begin(), up.end(), time_.random());
+    if (up.size() > count) up.resize(count);
+    return up;
+}
+
+void World::stutter(Node& n, TimePoint until) {
+    if (time_.now() >= until) return;
+    if (n.controller) n.machine->freeze(fromSeconds(std::exp(time_.between(-6, 1))));
+    time_.after(fromSeconds(time_.between(0.01, 2)), [this, &n, until] { stutter(n, until); });
+}
+
+void World::applyTo(Site& s, const Fault& f) {
+    const TimePoint until = time_.now() + fromSeconds(f.forS);
+    const auto isNode = [&s](const Machine& m) {
+        return std::any_of(s.nodes.begin(), s.nodes.end(),
+                           [&](const auto& n) { return n->machine.get() == &m; });
+    };
+    if (f.kind == "node_crash") {
+        for (Node* n : some(s, f)) crash(s, *n, f.forS);
+    } else if (f.kind == "node_freeze") {
+        for (Node* n : some(s, f)) n->machine->freeze(fromSeconds(f.forS));
+    } else if (f.kind == "node_stutter") {
+        for (Node* n : some(s, f)) stutter(*n, until);
+    } else if (f.kind == "node_cut" || f.kind == "node_from_state" ||
+               f.kind == "node_from_workers" || f.kind == "one_way") {
+        for (Node* n : some(s, f)) {
+            const Machine* me = n->machine.get();
+            const Machine* services = s.services.get();
+            const std::string kind = f.kind;
+            cutFor(f, [=](const Machine& a, const Machine& b) {
+                const Machine& other = &a == me ? b : a;
+                if (&a != me && &b != me) return false;
+                if (kind == "one_way") return &a == me;
+                if (kind == "node_from_state") return &other == services;
+                if (kind == "node_from_workers")
+                    return &other != services && !isNode(other) && other.name != "users";
+                return true;
+            });
+        }
+    } else if (f.kind == "zone_cut") {
+        cutFor(f, [zone = f.zone, site = s.terms.name](const Machine& a, const Machine& b) {
+            return a.site == site && b.site == site && (a.zone == zone) != (b.zone == zone);
+        });
+    } else if (f.kind == "zones_apart") {
+        cutFor(f, [site = s.terms.name](const Machine& a, const Machine& b) {
+            return a.site == site && b.site == site && !a.zone.empty() && !b.zone.empty() &&
+                   a.zone != b.zone;
+        });
+    } else if (f.kind == "peers_refuse") {
+        const auto id = network_.refuse(
+            [isNode](const Machine& a, const Machine& b) { return isNode(a) && isNode(b); });
+        time_.at(until, [this, id] { network_.allow(id); });
+    } else if (f.kind == "state_outage") {
+        s.state->down = true;
+        time_.at(until, [&s] { s.state->down = false; });
+    } else if (f.kind == "state_late") {
+        s.state->fault = [this](const http::Request& r) -> StateService::Fault {
+            using Kind = StateService::Fault::Kind;
+            if (r.target.starts_with("/watch") || !time_.chance(0.2)) return {};
+            const auto kind = std::array{Kind::refused, Kind::mute, Kind::late, Kind::slow};
+            return {kind.at(static_cast<std::size_t>(time_.between(0, 4))),
+                    fromSeconds(time_.between(0.05, 4))};
+        };
+        time_.at(until, [&s] { s.state->fault = nullptr; });
+    } else if (f.kind == "cloud_outage") {
+        s.cloud->down = true;
+        time_.at(until, [&s] { s.cloud->down = false; });
+    } else if (f.kind == "boot_trouble") {
+        s.cloud->bootFactor = f.factor;
+        s.cloud->bootFails = 0.2;
+        time_.at(until, [&s] {
+            s.cloud->bootFactor = 1;
+            s.cloud->bootFails = 0;
+        });
+    } else if (f.kind == "machine_die") {
+        for (Worker* w : someWorkers(s, f.count, false)) {
+            s.cloud->lose(w->host().name, false);
+            w->kill(false);
+        }
+    } else if (f.kind == "machine_hang") {
+        for (Worker* w : someWorkers(s, f.count, false)) w->hang(fromSeconds(f.forS));
+    } else if (f.kind == "machine_sick") {
+        for (Worker* w : someWorkers(s, f.count, false)) {
+            w->setSick(true);
+            time_.at(until, [w] { w->setSick(false); });
+        }
+    } else if (f.kind == "spot_taken") {
+        for (Worker* w : someWorkers(s, f.count, true)) {
+            const double notice = time_.chance(0.5) ? time_.between(0, 20) : 0;
+            if (notice > 0) w->recall(fromSeconds(notice));
+            time_.after(fromSeconds(notice), [&s, w] {
+                if (w->gone()) return;
+                s.cloud->lose(w->host().name, true);
+                w->kill(false);
+            });
+        }
+    } else if (f.kind == "job_burst") {
+        s.load[f.jobClass] = f.factor;
+        time_.at(until, [&s, c = f.jobClass] { s.load.erase(c); });
+    }
+}
+
+}  // namespace basaltchute::lab
--- /dev/null
+++ b/src/lab/world.h
@@ -0,0 +1,79 @@
+#pragma once
+#include <memory>
+#include <set>
+
+#include "app/controller.h"
+#include "lab/checker.h"
+#include "lab/scenario.h"
+#include "lab/users.h"
+#include "lab/worker.h"
+
+namespace basaltchute::lab {
+
+/// Sites with real controllers in a simulated world: what happens follows from scenario and seed.
+class World {
+  public:
+    World(const Scenario& scenario, std::uint64_t seed);
+    ~World();
+    World(const World&) = delete;
+    World& operator=(const World&) = delete;
+    /// Plays the scenario to its end.
+    void run();
+    /// Lets only these faults happen, by their place in faults(); for finding the fewest.
+    void keep(const std::set<std::size_t>& which) { kept_ = which; }
+    [[nodiscard]] const std::vector<Fault>& faults() const { return faults_; }
+    [[nodiscard]] const History& history() const { return history_; }
+    [[nodiscard]] Verdict verdict() const { return check(history_, rules_); }
+
+  private:
+    struct Node {
+        settings::Settings settings;
+        std::unique_ptr<Machine> machine;
+        std::unique_ptr<app::Controller> controller;
+        double stutter = 0;  // share of moments in which it stands still for a while
+    };
+    struct Site {
+        SiteTerms terms;
+        std::size_t number = 0;
+        std::unique_ptr<Machine> services, users;
+        std::unique_ptr<Scope> scope;
+        std::unique_ptr<StateService> state;
+        std::unique_ptr<Cloud> cloud;
+        std::unique_ptr<Users> people;
+        std::vector<std::unique_ptr<Node>> nodes;
+        WorkerTerms workerTerms;
+        std::vector<std::unique_ptr<Machine>> machines;
+        std::map<std::string, std::unique_ptr<Worker>> workers;
+        std::uint64_t named = 0;
+        std::map<std::string, double> load;  // how many times as many of a class come
+    };
+    void build(Site& site);
+    void start(Node& node);
+    void crash(Site& site, Node& node, double backS);
+    static void stop(Node& node);
+    void arrive(Site& site);
+    void submit(Site& site, const ClassTerms& terms);
+    void draw(const Swarm& swarm);
+    void apply(const Fault& fault);
+    void applyTo(Site& site, const Fault& fault);
+    void cutFor(const Fault& fault, Network::Between between);
+    /// So many nodes, the leader first if it is meant.
+    std::vector<Node*> some(Site& site, const Fault& fault);
+    std::vector<Worker*> someWorkers(Site& site, std::uint32_t count, bool spotOnly);
+    void stutter(Node& node, TimePoint until);
+    [[nodiscard]] std::unique_ptr<Machine> machine(const std::string& name,
+                                                   const std::string& address,
+                                                   const std::string& zone, const Site& site);
+
+    Scenario scenario_;
+    Timeline time_;
+    Network network_;
+    History history_;
+    RuleTerms rules_;
+    std::vector<std::unique_ptr<Site>> sites_;
+    std::vector<Fault> faults_;
+    std::optional<std::set<std::size_t>> kept_;
+    std::uint64_t jobs_ = 0;
+};
+
+}  // namespace basaltchute::lab
--- /dev/null
+++ b/src/lab/world_test.cpp
@@ -0,0 +1,213 @@
+#include "lab/world.h"
+
+#include <gtest/gtest.h>
+#include <spdlog/spdlog.h>
+
+namespace basaltchute::lab {
+namespace {
+
+using namespace std::chrono_literals;
+
+Scenario scenario(const std::string& name) {
+    const auto text = settings::readFile(std::string(SCENARIOS) + '/' + name + ".json");
+    auto parsed = parseScenario(text.value_or(""));
+    EXPECT_TRUE(std::holds_alternative<Scenario>(parsed)) << std::get<std::string>(parsed);
+    return std::get<Scenario>(std::move(parsed));
+}
+std::string wrongIn(const std::string& text) {
+    const auto parsed = parseScenario(text);
+    const auto* wrong = std::get_if<std::string>(&parsed);
+    return wrong == nullptr ? "" : *wrong;
+}
+
+class LabTest : public ::testing::Test {
+  protected:
+    spdlog::level::level_enum before = spdlog::get_level();
+    LabTest() { spdlog::set_level(spdlog::level::off); }
+    ~LabTest() override { spdlog::set_level(before); }
+};
+
+TEST_F(LabTest, OneSeedIsOneHistory) {
+    const Scenario s = scenario("one-site");
+    World first(s, 7), again(s, 7), other(s, 8);
+    first.run();
+    again.run();
+    other.run();
+    EXPECT_EQ(first.history().digest(), again.history().digest());
+    EXPECT_NE(first.history().digest(), other.history().digest());
+    EXPECT_GT(first.history().facts.size(), 1000U);
+}
+
+TEST_F(LabTest, TwoSitesServeAndTheCheckerSeesBoth) {
+    World world(scenario("two-sites"), 3);
+    world.run();
+    std::map<std::string, int> started;
+    for (const auto& f : world.history().facts)
+        if (f.kind == Fact::Kind::on) ++started[f.site];
+    EXPECT_GT(started["east"], 20);
+    EXPECT_GT(started["west"], 20);
+    EXPECT_TRUE(world.verdict().violations.empty());
+    for (const auto& [name, share] : world.verdict().classes)
+        EXPECT_EQ(share.accepted, share.jobs) << name;
+}
+
+TEST_F(LabTest, ALeaderThatEndsIsReplacedAtOnceWhenItIsBackAtOnce) {
+    Scenario s = scenario("one-site");
+    s.swarm.toS = 0;
+    Fault f;
+    f.kind = "node_crash";
+    f.leader = true;
+    f.atS = 40;
+    f.forS = 0.2;
+    s.faults = {f};
+    World world(s, 1);
+    world.run();
+    std::vector<double> elected;
+    for (const auto& e : world.history().facts)
+        if (e.kind == Fact::Kind::elected) elected.push_back(e.at);
+    ASSERT_EQ(elected.size(), 2U);
+    EXPECT_LT(elected[1], 40.4) << "not after the end of the former grant";
+}
+
+TEST_F(LabTest, ASessionKnownByAnAnswerOnlyKeepsItsWork) {
+    // docs/incidents/lab-393.md: two of three controllers stand still for longer than a lease.
+    Scenario s = scenario("one-site");
+    s.swarm.toS = 0;
+    Fault f;
+    f.kind = "node_freeze";
+    f.count = 2;
+    f.atS = 27.5;
+    f.forS = 42;
+    s.faults = {f};
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        World world(s, seed);
+        world.run();
+        for (const auto& v : world.verdict().violations) ADD_FAILURE() << seed << ": " << v.what;
+    }
+}
+
+TEST_F(LabTest, AScenarioIsRefusedWithItsFieldAndWhatWasExpected) {
+    EXPECT_EQ(wrongIn("{"), "not JSON");
+    EXPECT_EQ(wrongIn("{}"), "#: expected \"seconds\"");
+    const std::string site =
+        R"({"name":"east","nodes":1,"zones":["a"],"types":[{"name":"box","cores":2,"ramGb":4,)"
+        R"("ordinary":1}],"teams":[{"name":"red"}],"classes":[{"name":"web","shape":"array",)"
+        R"("priority":"low","cores":1,"ramGb":1,"tasks":[1,2],"runS":[1,2],"perMinute":1}]})";
+    const auto with = [&](const std::string& rest) {
+        return R"({"seconds":60,"sites":[)" + site + "]" + rest + "}";
+    };
+    EXPECT_EQ(wrongIn(with("")), "");
+    EXPECT_EQ(wrongIn(with(R"(,"faults":[{"atS":1,"kind":"flood"}])")),
+              "#/faults/0/kind: expected a known kind of fault");
+    EXPECT_EQ(wrongIn(with(R"(,"faults":[{"atS":61,"kind":"node_crash"}])")),
+              "#/faults/0/atS: expected a time within the run");
+    EXPECT_EQ(wrongIn(with(R"(,"faults":[{"atS":1,"kind":"zone_cut","site":"west"}])")),
+              "#/faults/0/site: expected a known site");
+    EXPECT_EQ(wrongIn(with(R"(,"faults":[{"atS":1,"kind":"zone_cut","site":"east","zone":"b"}])")),
+              "#/faults/0/zone: expected a zone of that site");
+    std::string large = with("");
+    large.replace(large.find(R"("cores":1,"ramGb":1)"), 9, R"("cores":3)");
+    EXPECT_EQ(wrongIn(large), "#/sites/0/classes/0: expected a type that a task fits");
+}
+
+// The network itself
+
+struct Echo {
+    Timeline time{1};
+    Network network{time};
+    Machine here{network, "here", "10.9.0.1", "a", "x", 0, 0ms};
+    Machine there{network, "there", "10.9.0.2", "b", "x", 0.0005, 0ms};
+    Scope hereScope{here.boot()}, thereScope{there.boot()};
+    std::unique_ptr<http::Server> server =
+        std::make_unique<http::Server>(there.loop(), "10.9.0.2:80", http::ServerLimits{},
+                                       [](http::Request r) -> Task<http::Response> {
+                                           co_return http::Response{200, r.body};
+                                       });
+    http::Client client{here.loop(), "10.9.0.2:80"};
+    http::Outcome got;
+    bool done = false;
+
+    Echo() { server->start(thereScope); }
+    ~Echo() {
+        here.unwind(hereScope);
+        if (there.on()) there.unwind(thereScope);
+        server.reset();
+    }
+    void ask(Duration patience) {
+        done = false;
+        hereScope.spawn([](Echo& e, Duration wait) -> Task<void> {
+            http::Request r{"POST", "/", "hello"};
+            e.got = co_await e.client.request(std::move(r), wait, e.hereScope);
+            e.done = true;
+        }(*this, patience));
+        here.wake();
+    }
+    void pass(Duration span) { network.run(time.now() + span); }
+    std::uint64_t cut() {
+        return network.cut([](const Machine& a, const Machine& b) { return a.zone != b.zone; });
+    }
+};
+
+TEST(LabNetwork, WhatIsSentArrivesAndARefusedConnectionIsToldAtOnce) {
+    Echo echo;
+    echo.ask(1s);
+    echo.pass(500ms);
+    EXPECT_EQ(echo.got.response.body, "hello");
+    http::Client nobody(echo.here.loop(), "10.9.0.2:81");
+    bool done = false;
+    echo.hereScope.spawn([](http::Client& c, Scope& s, bool& flag) -> Task<void> {
+        http::Request r{"GET", "/", ""};
+        const auto o = co_await c.request(std::move(r), 10s, s);
+        flag = !o.sent;
+    }(nobody, echo.hereScope, done));
+    echo.here.wake();
+    echo.pass(300ms);
+    EXPECT_TRUE(done);
+}
+
+TEST(LabNetwork, ACutHoldsBackWhatWasSentAndEndsWithItOrWithAReset) {
+    for (const bool reset : {false, true}) {
+        Echo echo;
+        echo.ask(1s);
+        echo.pass(500ms);
+        const auto cut = echo.cut();
+        echo.ask(20s);
+        echo.pass(5s);
+        EXPECT_FALSE(echo.done);
+        echo.network.heal(cut, reset);
+        echo.pass(500ms);
+        EXPECT_TRUE(echo.done);
+        EXPECT_EQ(echo.got.answered, !reset);
+        EXPECT_TRUE(echo.got.sent);
+    }
+}
+
+TEST(LabNetwork, AMachineThatStandsStillGoesOnLaterAndOneWithoutPowerIsSilent) {
+    Echo echo;
+    echo.there.freeze(3s);
+    echo.ask(10s);
+    echo.pass(2900ms);
+    EXPECT_FALSE(echo.done);
+    echo.pass(300ms);
+    EXPECT_TRUE(echo.got.answered);
+    echo.there.cutOff(false);
+    echo.ask(2s);
+    echo.pass(1900ms);
+    EXPECT_FALSE(echo.done) << "no reset, no refusal";
+    echo.pass(300ms);
+    EXPECT_TRUE(echo.done);
+    EXPECT_FALSE(echo.got.answered);
+}
+
+TEST(LabNetwork, ClocksDriftApartWithinTheirBound) {
+    Echo echo;
+    echo.pass(1000s);
+    const Duration apart = echo.there.clock().now() - echo.here.clock().now();
+    EXPECT_GT(apart, 490ms);
+    EXPECT_LE(apart, 501ms);
+    EXPECT_NEAR(toSeconds(echo.there.clock().trueTime(echo.there.clock().now()) - echo.time.now()),
+                0, 1e-6);
+}
+
+}  // namespace
+}  // namespace basaltchute::lab
--- a/src/runtime/loop.cpp
+++ b/src/runtime/loop.cpp
@@ -1,12 +1,9 @@
 #include "runtime/loop.h"
 
 #include <spdlog/spdlog.h>
-#include <sys/epoll.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <array>
-#include <system_error>
 
 namespace basaltchute {
 
@@ -72,12 +69,10 @@
     co_await ended;
 }
 
-Loop::Loop(const Clock& clock) : clock_(clock), epoll_(epoll_create1(EPOLL_CLOEXEC)) {
-    if (epoll_ < 0) throw std::system_error(errno, std::generic_category(), "epoll_create1");
-}
-Loop::~Loop() {
-    close(epoll_);
-}
+Loop::Loop(const Clock& clock) : Loop(clock, std::make_unique<Kernel>()) {}
+Loop::Loop(const Clock& clock, std::unique_ptr<Host> host)
+    : clock_(clock), host_(std::move(host)) {}
+Loop::~Loop() = default;
 
 void Loop::spawn(Task<void> task) {
     drive(std::move(task));
@@ -85,14 +80,11 @@
 
 void Loop::add(int fd, FdHandler& handler) {
     handlers_[fd] = &handler;
-    epoll_event ev{};
-    ev.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
-    ev.data.fd = fd;
-    epoll_ctl(epoll_, EPOLL_CTL_ADD, fd, &ev);
+    host_->watch(fd);
 }
 void Loop::remove(int fd) {
     handlers_.erase(fd);
-    epoll_ctl(epoll_, EPOLL_CTL_DEL, fd, nullptr);
+    host_->unwatch(fd);
 }
 
 bool Loop::Wait::await_ready() {
@@ -136,7 +128,7 @@
     }
 }
 bool Loop::turn(Duration most) {
-    std::array<epoll_event, 64> events{};
+    std::array<Host::Ready, 64> events;
     fireTimers();
     bool busy = !ready_.empty();
     runReady();
@@ -144,18 +136,13 @@
         most = Duration::zero();
     else if (!timers_.empty())
         most = std::clamp(timers_.begin()->first - now(), Duration::zero(), most);
-    const auto timeout = std::chrono::ceil<std::chrono::milliseconds>(most).count();
-    const int n = epoll_wait(epoll_, events.data(), static_cast<int>(events.size()),
-                             static_cast<int>(timeout));
-    for (int i = 0; i < n; ++i) {
-        const auto& ev = events[static_cast<std::size_t>(i)];
+    const std::size_t n = host_->wait(events, most);
+    for (std::size_t i = 0; i < n; ++i) {
         // A handler may have been removed by one that ran before it in this batch.
-        const auto it = handlers_.find(ev.data.fd);
+        const auto it = handlers_.find(events[i].fd);
         if (it == handlers_.end()) continue;
         busy = true;
-        const bool broken = (ev.events & (EPOLLERR | EPOLLHUP)) != 0;
-        it->second->ready(broken || (ev.events & (EPOLLIN | EPOLLRDHUP)) != 0,
-                          broken || (ev.events & EPOLLOUT) != 0);
+        it->second->ready(events[i].readable, events[i].writable);
     }
     return busy || !ready_.empty();
 }
--- a/src/runtime/loop.h
+++ b/src/runtime/loop.h
@@ -3,9 +3,11 @@
 #include <deque>
 #include <list>
 #include <map>
+#include <memory>
 #include <vector>
 
 #include "runtime/clock.h"
+#include "runtime/host.h"
 #include "runtime/task.h"
 
 namespace basaltchute {
@@ -70,7 +72,7 @@
     std::list<detail::Waiter*> waiters_;
 };
 
-/// What epoll calls when a descriptor is ready.
+/// What the loop calls when a descriptor is ready.
 class FdHandler {
   public:
     virtual ~FdHandler() = default;
@@ -79,13 +81,20 @@
 
 class Loop {
   public:
+    /// On the machine that the process runs on.
     explicit Loop(const Clock& clock);
+    Loop(const Clock& clock, std::unique_ptr<Host> host);
     ~Loop();
     Loop(const Loop&) = delete;
     Loop& operator=(const Loop&) = delete;
 
     [[nodiscard]] TimePoint now() const { return clock_.now(); }
     [[nodiscard]] const Clock& clock() const { return clock_; }
+    [[nodiscard]] Host& host() { return *host_; }
+    /// When the next timer is due, if nothing else happens.
+    [[nodiscard]] TimePoint nextTimer() const {
+        return timers_.empty() ? TimePoint::max() : timers_.begin()->first;
+    }
 
     void run();
     /// One round: timers, routines that are ready, then sockets, blocking at most `most`.
@@ -122,7 +131,7 @@
     void runReady();
 
     const Clock& clock_;
-    int epoll_ = -1;
+    std::unique_ptr<Host> host_;
     bool stopping_ = false;
     std::deque<std::coroutine_handle<>> ready_;
     std::multimap<TimePoint, detail::Waiter*> timers_;
--- a/src/runtime/socket.cpp
+++ b/src/runtime/socket.cpp
@@ -1,9 +1,6 @@
 #include "runtime/socket.h"
 
 #include <arpa/inet.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <array>
 #include <cerrno>
@@ -26,14 +23,18 @@
     return out;
 }
 
+std::string formatAddress(const sockaddr_in& addr) {
+    std::array<char, INET_ADDRSTRLEN> text{};
+    inet_ntop(AF_INET, &addr.sin_addr, text.data(), text.size());
+    return std::string(text.data()) + ':' + std::to_string(ntohs(addr.sin_port));
+}
+
 Socket::Socket(Loop& loop, int fd) : loop_(loop), fd_(fd), readable_(loop), writable_(loop) {
-    const int one = 1;
-    setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
     loop_.add(fd_, *this);
 }
 Socket::~Socket() {
     loop_.remove(fd_);
-    close(fd_);
+    loop_.host().close(fd_);
 }
 void Socket::ready(bool readable, bool writable) {
     if (readable) readable_.notify();
@@ -42,20 +43,14 @@
 
 Task<std::unique_ptr<Socket>> Socket::connect(Loop& loop, sockaddr_in to, TimePoint until,
                                               Scope& scope) {
-    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    errno = 0;
+    const int fd = loop.host().connect(to);
     if (fd < 0) co_return nullptr;
-    const int rc = ::connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to);
-    if (rc != 0 && errno != EINPROGRESS) {
-        close(fd);
-        co_return nullptr;
-    }
+    const bool underWay = errno == EINPROGRESS;
     auto out = std::make_unique<Socket>(loop, fd);
-    if (rc != 0) {
+    if (underWay) {
         const Wake woke = co_await loop.wait(out->writable_, until, scope);
-        int err = 0;
-        socklen_t len = sizeof err;
-        getsockopt(fd, SOL_SOCKET, SO_ERROR, &err, &len);
-        if (woke != Wake::signalled || err != 0) co_return nullptr;
+        if (woke != Wake::signalled || loop.host().error(fd) != 0) co_return nullptr;
     }
     co_return std::move(out);
 }
@@ -63,7 +58,7 @@
 Task<long> Socket::read(std::string& into, TimePoint until, Scope& scope) {
     std::array<char, 16384> buffer;
     while (true) {
-        const ssize_t n = ::recv(fd_, buffer.data(), buffer.size(), 0);
+        const ssize_t n = loop_.host().receive(fd_, buffer);
         if (n >= 0) {
             into.append(buffer.data(), static_cast<std::size_t>(n));
             co_return static_cast<long>(n);
@@ -77,7 +72,7 @@
 
 Task<bool> Socket::write(std::string_view data, TimePoint until, Scope& scope) {
     while (!data.empty()) {
-        const ssize_t n = ::send(fd_, data.data(), data.size(), MSG_NOSIGNAL);
+        const ssize_t n = loop_.host().send(fd_, data);
         if (n > 0) {
             data.remove_prefix(static_cast<std::size_t>(n));
             continue;
@@ -91,21 +86,14 @@
 }
 
 bool Socket::stale() const {
-    char c = 0;
-    const ssize_t n = ::recv(fd_, &c, 1, MSG_PEEK);
-    return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    return loop_.host().stale(fd_);
 }
-
 std::string Socket::peer() const {
-    sockaddr_in addr{};
-    socklen_t len = sizeof addr;
-    getpeername(fd_, reinterpret_cast<sockaddr*>(&addr), &len);
-    std::array<char, INET_ADDRSTRLEN> text{};
-    inet_ntop(AF_INET, &addr.sin_addr, text.data(), text.size());
-    return text.data();
+    const std::string text = formatAddress(loop_.host().remote(fd_));
+    return text.substr(0, text.rfind(':'));
 }
 void Socket::shutDown() {
-    ::shutdown(fd_, SHUT_RDWR);
+    loop_.host().shutDown(fd_);
     readable_.notify();
     writable_.notify();
 }
@@ -113,35 +101,26 @@
 Listener::Listener(Loop& loop, const std::string& address) : loop_(loop), acceptable_(loop) {
     const auto addr = parseAddress(address);
     if (!addr) throw std::runtime_error("not an IPv4 address with a port: " + address);
-    fd_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    const int one = 1;
-    setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-    if (fd_ < 0 || bind(fd_, reinterpret_cast<const sockaddr*>(&*addr), sizeof *addr) != 0 ||
-        listen(fd_, 512) != 0) {
-        const int err = errno;
-        if (fd_ >= 0) close(fd_);
-        throw std::system_error(err, std::generic_category(), "listen on " + address);
+    try {
+        fd_ = loop_.host().listen(*addr);
+    } catch (const std::system_error& e) {
+        throw std::system_error(e.code(), "listen on " + address);
     }
     loop_.add(fd_, *this);
 }
 Listener::~Listener() {
     loop_.remove(fd_);
-    close(fd_);
+    loop_.host().close(fd_);
 }
 std::string Listener::address() const {
-    sockaddr_in addr{};
-    socklen_t len = sizeof addr;
-    getsockname(fd_, reinterpret_cast<sockaddr*>(&addr), &len);
-    std::array<char, INET_ADDRSTRLEN> text{};
-    inet_ntop(AF_INET, &addr.sin_addr, text.data(), text.size());
-    return std::string(text.data()) + ':' + std::to_string(ntohs(addr.sin_port));
+    return formatAddress(loop_.host().local(fd_));
 }
 void Listener::ready(bool readable, bool) {
     if (readable) acceptable_.notify();
 }
 Task<std::unique_ptr<Socket>> Listener::accept(Scope& scope) {
     while (true) {
-        const int fd = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        const int fd = loop_.host().accept(fd_);
         if (fd >= 0) co_return std::make_unique<Socket>(loop_, fd);
         if (errno == EINTR || errno == ECONNABORTED) continue;
         // Out of sockets: edge-triggered readiness will not come again, so look again shortly.
--- a/src/runtime/socket.h
+++ b/src/runtime/socket.h
@@ -13,6 +13,8 @@
 /// Parses "10.0.0.1:8080"; names are not looked up.
 std::optional<sockaddr_in> parseAddress(const std::string& text);
 
+std::string formatAddress(const sockaddr_in& address);
+
 /// A non-blocking TCP connection whose waits end with data, a deadline or its scope.
 class Socket final : public FdHandler {
   public:
--- a/src/testing/world.h
+++ b/src/testing/world.h
@@ -10,6 +10,7 @@
 #include "http/server.h"
 #include "jobs/codec.h"
 #include "json/json.h"
+#include "lab/state_service.h"
 #include "runtime/loop.h"
 #include "scheduler/cluster.h"
 #include "settings/settings.h"
@@ -29,52 +30,11 @@
     void end(Scope& scope);
 };
 
-class StateService {
+/// The lab's, on a test's loop.
+class StateService : public lab::StateService {
   public:
-    explicit StateService(World& world) : StateService(world.loop, world.scope) {}
-    /// On any clock; routines belong to `scope`.
-    StateService(Loop& loop, Scope& scope, const std::string& address = "127.0.0.1:0");
-    [[nodiscard]] std::string address() const { return server_.address(); }
-    struct Entry {
-        std::string data;
-        std::uint64_t stamp = 0, grant = 0;
-    };
-    std::map<std::string, Entry> keys;
-    bool down = false;
-    int writes = 0, watches = 0;
-    /// What goes wrong with a request: refused, executed without an answer, executed late, or
-    /// answered late.
-    struct Fault {
-        enum class Kind { none, refused, mute, late, slow } kind = Kind::none;
-        Duration late{};
-    };
-    std::function<Fault(const http::Request&)> fault;
-    /// Other changes, after which the service no longer knows what came before them.
-    void changeElsewhere(std::uint64_t times) {
-        epoch_ += times;
-        oldest_ = epoch_ - 1;
-    }
-    /// Ends the grant that holds a key, as if its time had run out.
-    void endGrantOf(const std::string& key);
-
-  private:
-    Task<http::Response> handle(http::Request request);
-    Task<http::Response> serve(http::Request request);
-    http::Response multi(const std::string& body);
-    Task<http::Response> watch(std::string target);
-    void expire();
-    void erase(const std::string& key);
-    Loop& loop_;
-    Scope& scope_;
-    http::Server server_;
-    Event changed_;
-    std::uint64_t epoch_ = 1, nextGrant_ = 1, erasedAt_ = 0, oldest_ = 0;
-    struct Grant {
-        Duration life{};
-        TimePoint end{};
-    };
-    std::map<std::uint64_t, Grant> grants_;
-    http::Response forgetGrant(std::uint64_t id);
+    explicit StateService(World& world) : lab::StateService(world.loop, world.scope) {}
+    using lab::StateService::StateService;
 };
 
 class CloudService {
