--- a/tools/served_shares.py
+++ b/tools/served_shares.py
@@ -67,6 +67,7 @@
     parser.add_argument("reports", nargs="+")
     parser.add_argument("--log", nargs="*", default=[])
     parser.add_argument("--begin", type=float, default=60.0, help="the first second that is looked at")
+    parser.add_argument("--end", type=float, help="the last one: when users stop submitting")
     args = parser.parse_args()
     print("| day | started, least | ended, least | in time, least | rules | pause, from |")
     print("| --- | --- | --- | --- | --- | --- |")
@@ -80,7 +81,7 @@
         low = any(share < HALF for _, share in found)
         pause = "–"
         if i < len(args.log):
-            span, at = longest_pause(args.log[i], args.begin, report["duration_s"] - 150)
+            span, at = longest_pause(args.log[i], args.begin, args.end or report["duration_s"])
             pause = f"{span:.1f} s, {at:.0f}"
         name = report["scenario"] + (" **below half**" if low else "")
         print(f"| {name} | {cell(started)} | {cell(ended)} | {cell(late)} |"
