--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -4,8 +4,12 @@
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
+#include <array>
+#include <cstdio>
 #include <iostream>
 
+#include "json/json.h"
+#include "lab/measures.h"
 #include "lab/world.h"
 
 // Plays scenarios from seeds: real controllers, simulated machines, network, users and services.
@@ -59,24 +63,29 @@
                 static_cast<double>(s.ended) / static_cast<double>(s.jobs));
 }
 
+struct Show {
+    bool log = false, shares = false, json = false;
+};
+
 /// One seed; 0 if nothing was wrong.
-int one(const lab::Scenario& scenario, std::uint64_t seed, bool log, bool shares) {
+int one(const lab::Scenario& scenario, std::uint64_t seed, Show show) {
     const Played p = play(scenario, seed);
-    if (log)
+    if (show.log)
         for (const auto& e : p.history.facts) std::cout << lab::History::text(e) << '\n';
     const std::string rule = firstRule(p);
     std::cout << fmt::format("seed {}: {} {} events {:016x}\n", seed,
                              rule.empty() ? "kept" : "BROKEN " + rule, p.history.facts.size(),
                              p.history.digest());
     print(p.verdict);
-    if (shares) printShares(p.verdict);
+    if (show.shares) printShares(p.verdict);
+    if (show.json) std::cout << lab::measuresText(seed, lab::measure(p.history, p.verdict)) << '\n';
     std::cout.flush();
     return rule.empty() ? 0 : 1;
 }
 
 /// Seeds in processes of their own, so that a crash is a finding with its seed.
 int simulate(const lab::Scenario& scenario, std::uint64_t from, std::uint64_t to, unsigned jobs,
-             bool log, bool shares) {
+             Show show) {
     std::map<pid_t, std::uint64_t> running;
     std::uint64_t broken = 0;
     const auto reap = [&] {
@@ -91,7 +100,7 @@
         if (running.size() >= jobs) reap();
         std::cout.flush();
         const pid_t pid = ::fork();
-        if (pid == 0) ::_exit(one(scenario, seed, log, shares));
+        if (pid == 0) ::_exit(one(scenario, seed, show));
         running[pid] = seed;
     }
     while (!running.empty()) reap();
@@ -120,6 +129,65 @@
     return 0;
 }
 
+struct Side {
+    std::string program, scenario;
+};
+
+/// What the program prints; nothing if it could not be run or refused its scenario.
+std::optional<std::string> output(const Side& side, const std::string& seeds, unsigned jobs) {
+    const auto quoted = [](const std::string& s) {
+        std::string out = "'";
+        for (const char c : s) out += c == '\'' ? std::string("'\\''") : std::string(1, c);
+        return out + '\'';
+    };
+    const std::string command = quoted(side.program) + " simulate " + quoted(side.scenario) +
+                                " --json --seeds " + quoted(seeds) + " --jobs " +
+                                std::to_string(jobs);
+    FILE* pipe = ::popen(command.c_str(), "r");
+    if (pipe == nullptr) return std::nullopt;
+    std::string out;
+    std::array<char, 65536> buffer{};
+    for (std::size_t n = 0; (n = ::fread(buffer.data(), 1, buffer.size(), pipe)) > 0;)
+        out.append(buffer.data(), n);
+    const int status = ::pclose(pipe);
+    // Broken rules are a measure like the others; anything else is no run.
+    if (!WIFEXITED(status) || WEXITSTATUS(status) > 1) return std::nullopt;
+    return out;
+}
+
+int experiment(const Side& a, const Side& b, const std::string& seeds, unsigned jobs, bool json) {
+    std::array<std::map<std::uint64_t, lab::Measures>, 2> runs;
+    for (unsigned i = 0; i < 2; ++i) {
+        const auto text = output(i == 0 ? a : b, seeds, jobs);
+        if (!text) {
+            std::cerr << (i == 0 ? a : b).program << ": could not be run\n";
+            return 2;
+        }
+        runs.at(i) = lab::parseMeasures(*text);
+    }
+    const auto found = lab::compare(runs[0], runs[1]);
+    if (json) {
+        basaltchute::json::Out o;
+        o.open().field("seeds", seeds).key("measures").openArray();
+        for (const auto& d : found) {
+            o.open().field("name", d.name).field("pairs", static_cast<std::uint64_t>(d.pairs));
+            o.field("a", d.meanA).field("b", d.meanB).field("difference", d.difference);
+            if (d.pairs > 1) o.field("low", d.low).field("high", d.high);
+            o.field("clear", d.clear()).close();
+        }
+        o.closeArray().close();
+        std::cout << o.text() << '\n';
+        return 0;
+    }
+    std::cout << fmt::format("{:<36} {:>6} {:>10} {:>10} {:>10}   95%\n", "", "pairs", "a", "b",
+                             "b - a");
+    for (const auto& d : found)
+        std::cout << fmt::format(
+            "{:<36} {:>6} {:>10.4f} {:>10.4f} {:>10.4f}   {:.4f} to {:.4f}{}\n", d.name, d.pairs,
+            d.meanA, d.meanB, d.difference, d.low, d.high, d.clear() ? " *" : "");
+    return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -127,22 +195,44 @@
     cli.require_subcommand(1);
     std::string path, seeds = "1", level = "off";
     unsigned jobs = 1;
-    bool log = false, shares = false;
+    Show show;
     std::uint64_t seed = 1;
     auto* sim = cli.add_subcommand("simulate", "play a scenario and check every rule");
     sim->add_option("scenario", path, "scenario (JSON)")->required()->check(CLI::ExistingFile);
     sim->add_option("--seeds", seeds, "A or A-B");
     sim->add_option("--jobs", jobs, "seeds at once")->check(CLI::Range(1, 64));
-    sim->add_flag("--log", log, "print every event");
-    sim->add_flag("--shares", shares, "print what was accepted, started and ended");
+    sim->add_flag("--log", show.log, "print every event");
+    sim->add_flag("--shares", show.shares, "print what was accepted, started and ended");
+    sim->add_flag("--json", show.json, "print what was measured, a line of JSON a seed");
     sim->add_option("--controllers", level, "log level of the controllers");
     auto* small = cli.add_subcommand("shrink", "the fewest faults with which a seed fails");
     small->add_option("scenario", path, "scenario (JSON)")->required()->check(CLI::ExistingFile);
     small->add_option("--seed", seed, "the seed")->required();
+    std::string a, b, pathB;
+    bool asJson = false;
+    auto* both = cli.add_subcommand("experiment", "two builds or scenarios over the same seeds");
+    both->add_option("scenario", path, "scenario (JSON)")->required()->check(CLI::ExistingFile);
+    both->add_option("--b-scenario", pathB, "the other one's, if it has its own")
+        ->check(CLI::ExistingFile);
+    both->add_option("--a", a, "program; this one unless it is given")->check(CLI::ExistingFile);
+    both->add_option("--b", b, "the other program")->check(CLI::ExistingFile);
+    both->add_option("--seeds", seeds, "A or A-B");
+    both->add_option("--jobs", jobs, "seeds at once")->check(CLI::Range(1, 64));
+    both->add_flag("--json", asJson, "as JSON");
     CLI11_PARSE(cli, argc, argv);
     spdlog::set_default_logger(spdlog::stderr_logger_st("controllers"));
     spdlog::set_level(spdlog::level::from_str(level));
 
+    if (*both) {
+        if (b.empty() && pathB.empty()) {
+            std::cerr << "experiment: expected --b or --b-scenario\n";
+            return 2;
+        }
+        const std::string self = argv[0];
+        return experiment({a.empty() ? self : a, path},
+                          {b.empty() ? self : b, pathB.empty() ? path : pathB}, seeds, jobs,
+                          asJson);
+    }
     const auto text = basaltchute::settings::readFile(path);
     const auto parsed = lab::parseScenario(text.value_or(""));
     if (const auto* wrong = std::get_if<std::string>(&parsed)) {
@@ -160,5 +250,5 @@
         std::cerr << "--seeds: expected A or A-B, two numbers\n";
         return 2;
     }
-    return simulate(scenario, from, to, jobs, log, shares);
+    return simulate(scenario, from, to, jobs, show);
 }
--- /dev/null
+++ b/src/lab/measures.cpp
@@ -0,0 +1,127 @@
+#include "lab/measures.h"
+
+#include <boost/histogram.hpp>
+#include <boost/math/distributions/students_t.hpp>
+#include <cmath>
+#include <optional>
+#include <set>
+#include <sstream>
+
+#include "json/json.h"
+
+namespace basaltchute::lab {
+
+namespace {
+
+namespace bh = boost::histogram;
+
+/// Times over some decades, each bin 5% wide.
+using Times = decltype(bh::make_histogram(
+    bh::axis::regular<double, bh::axis::transform::log>(300, 1e-3, 1e3)));
+
+double quantile(const Times& times, double share) {
+    const double all = bh::algorithm::sum(times);
+    double below = 0;
+    for (const auto& bin : bh::indexed(times, bh::coverage::all)) {
+        below += *bin;
+        if (below >= share * all)
+            return std::isfinite(bin.bin(0).upper()) ? bin.bin(0).upper() : 1e3;
+    }
+    return 0;
+}
+
+}  // namespace
+
+Measures measure(const History& history, const Verdict& verdict) {
+    Measures out;
+    out["violations"] = static_cast<double>(verdict.violations.size());
+    for (const auto& [name, s] : verdict.classes) {
+        const auto jobs = static_cast<double>(s.jobs);
+        out[name + " accepted"] = static_cast<double>(s.accepted) / jobs;
+        out[name + " started"] = static_cast<double>(s.started) / jobs;
+        out[name + " ended"] = static_cast<double>(s.ended) / jobs;
+    }
+    std::map<std::string, double> submitted;
+    std::set<std::string> accepted, started;
+    std::map<std::string, Times> times;
+    const auto count = [&](const Fact& f, const char* what) {
+        const std::string name = history.jobs.at(f.job).jobClass + ' ' + what;
+        auto [it, fresh] = times.try_emplace(
+            name, bh::make_histogram(
+                      bh::axis::regular<double, bh::axis::transform::log>(300, 1e-3, 1e3)));
+        it->second(std::max(f.at - submitted.at(f.job), 1e-3));
+        (void)fresh;
+    };
+    for (const auto& f : history.facts) {
+        if (f.kind == Fact::Kind::submitted) submitted[f.job] = f.at;
+        if (!submitted.contains(f.job)) continue;
+        const bool yes = f.kind == Fact::Kind::told && (f.status == 200 || f.status == 201);
+        if (yes && accepted.insert(f.job).second) count(f, "acceptance");
+        if (f.kind == Fact::Kind::on && started.insert(f.job).second) count(f, "first start");
+    }
+    for (const auto& [name, h] : times) {
+        out[name + " p50 s"] = quantile(h, 0.5);
+        out[name + " p95 s"] = quantile(h, 0.95);
+    }
+    return out;
+}
+
+std::string measuresText(std::uint64_t seed, const Measures& measures) {
+    json::Out o;
+    o.open().field("seed", seed).key("measures").open();
+    for (const auto& [name, value] : measures) o.field(name, value);
+    o.close().close();
+    return o.text();
+}
+
+std::map<std::uint64_t, Measures> parseMeasures(const std::string& text) {
+    std::map<std::uint64_t, Measures> out;
+    std::istringstream lines(text);
+    for (std::string line; std::getline(lines, line);) {
+        if (!line.starts_with('{')) continue;
+        const auto doc = json::parse(line);
+        const auto seed = doc && doc->IsObject() ? json::count(*doc, "seed") : std::nullopt;
+        const auto* values = seed ? json::find(*doc, "measures") : nullptr;
+        if (values == nullptr || !values->IsObject()) continue;
+        for (const auto& m : values->GetObject())
+            if (m.value.IsNumber()) out[*seed][m.name.GetString()] = m.value.GetDouble();
+    }
+    return out;
+}
+
+std::vector<Difference> compare(const std::map<std::uint64_t, Measures>& a,
+                                const std::map<std::uint64_t, Measures>& b) {
+    std::map<std::string, std::vector<std::pair<double, double>>> pairs;
+    for (const auto& [seed, measures] : a) {
+        const auto other = b.find(seed);
+        if (other == b.end()) continue;
+        for (const auto& [name, value] : measures)
+            if (const auto same = other->second.find(name); same != other->second.end())
+                pairs[name].emplace_back(value, same->second);
+    }
+    std::vector<Difference> out;
+    for (const auto& [name, values] : pairs) {
+        Difference d;
+        d.name = name;
+        d.pairs = values.size();
+        const auto n = static_cast<double>(values.size());
+        for (const auto& [x, y] : values) {
+            d.meanA += x / n;
+            d.meanB += y / n;
+        }
+        d.difference = d.meanB - d.meanA;
+        double squares = 0;
+        for (const auto& [x, y] : values) squares += std::pow(y - x - d.difference, 2);
+        double half = std::numeric_limits<double>::infinity();  // one pair says nothing
+        if (values.size() > 1) {
+            const boost::math::students_t t(n - 1);
+            half = boost::math::quantile(t, 0.975) * std::sqrt(squares / (n - 1) / n);
+        }
+        d.low = d.difference - half;
+        d.high = d.difference + half;
+        out.push_back(d);
+    }
+    return out;
+}
+
+}  // namespace basaltchute::lab
