--- a/src/lab/cloud.cpp
+++ b/src/lab/cloud.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "json/json.h"
+#include "lab/query.h"
 
 namespace basaltchute::lab {
 
@@ -10,13 +11,6 @@
 
 namespace {
 constexpr Duration shownDead = 30s;  // a machine that dies goes on being listed as running
-
-std::string param(const std::string& target, const std::string& name) {
-    const auto at = target.find(name + '=');
-    if (at == std::string::npos) return "";
-    const auto from = at + name.size() + 1;
-    return target.substr(from, target.find('&', from) - from);
-}
 }  // namespace
 
 Cloud::Cloud(Timeline& time, Loop& loop, Scope& scope, const std::string& address, Terms terms,
--- a/src/lab/state_service.cpp
+++ b/src/lab/state_service.cpp
@@ -3,20 +3,12 @@
 #include <algorithm>
 
 #include "json/json.h"
+#include "lab/query.h"
 
 namespace basaltchute::lab {
 
 using namespace std::chrono_literals;
 
-namespace {
-std::string param(const std::string& target, const std::string& name) {
-    const auto at = target.find(name + '=');
-    if (at == std::string::npos) return "";
-    const auto from = at + name.size() + 1;
-    return target.substr(from, target.find('&', from) - from);
-}
-}  // namespace
-
 StateService::StateService(Loop& loop, Scope& scope, const std::string& address)
     : StateService(loop, scope, address, Terms{}) {}
 StateService::StateService(Loop& loop, Scope& scope, const std::string& address, Terms terms)
--- a/src/loans/loans_test.cpp
+++ b/src/loans/loans_test.cpp
@@ -414,26 +414,25 @@
     ~Quiet() { spdlog::set_level(before); }
 };
 
-TEST(LoansSearch, NothingRunsTwiceOrOutlivesItsCancellationWhateverHappensAroundALoan) {
+/// Plays them all; how many were played before one went wrong.
+std::size_t playAll(const std::vector<Story>& stories) {
     const Quiet quiet;
     std::size_t played = 0;
-    for (const Story& story : stories(true)) {
+    for (const Story& story : stories) {
         const std::string wrong = Play(story).run();
-        ASSERT_EQ(wrong, "") << story.text();
+        EXPECT_EQ(wrong, "") << story.text();
+        if (!wrong.empty()) break;
         ++played;
     }
-    EXPECT_EQ(played, 14'700U);
+    return played;
+}
+
+TEST(LoansSearch, NothingRunsTwiceOrOutlivesItsCancellationWhateverHappensAroundALoan) {
+    EXPECT_EQ(playAll(stories(true)), 14'700U);
 }
 
 TEST(LoansSearch, NothingRunsTwiceOrOutlivesItsCancellationWhenHoldersHandOn) {
-    const Quiet quiet;
-    std::size_t played = 0;
-    for (const Story& story : storiesOfTwo(true)) {
-        const std::string wrong = Play(story).run();
-        ASSERT_EQ(wrong, "") << story.text();
-        ++played;
-    }
-    EXPECT_EQ(played, 10'752U);
+    EXPECT_EQ(playAll(storiesOfTwo(true)), 10'752U);
 }
 
 TEST(LoansSearch, FindsTheFaultsOfALeaderThatDoesNotReckonWithWhatIsHandedOn) {
