--- a/src/app/controller_test.cpp
+++ b/src/app/controller_test.cpp
@@ -356,6 +356,22 @@
     EXPECT_EQ(ask(0, "GET", "/v1/jobs/run-1").response.status, 200);
 }
 
+TEST_F(ControllerTest, ASuccessorRentsUnderNamesOfItsOwnAndIsHealthyFromItsStart) {
+    // A rental of the former process that arrives late must not be answered by this one's name.
+    start(1);
+    ask(0, "POST", "/v1/jobs", testing::submission("run-1"));
+    world.run(5s);
+    const std::set<std::string> before(cloud.bookings.begin(), cloud.bookings.end());
+    ASSERT_FALSE(before.empty());
+    kill(0);
+    cloud.bookings.clear();
+    launch(*nodes[0]);
+    EXPECT_EQ(ask(0, "GET", "/up").response.status, 200) << "the load balancer notices nothing";
+    world.run(5s);
+    ASSERT_FALSE(cloud.bookings.empty());
+    for (const auto& name : cloud.bookings) EXPECT_FALSE(before.contains(name)) << name;
+}
+
 TEST_F(ControllerTest, WhatAFormerProcessWroteArrivesTooLateOnceItsSuccessorLeads) {
     start(1);
     state.fault = [](const http::Request& r) -> testing::StateService::Fault {
--- a/src/scheduler/cluster_test.cpp
+++ b/src/scheduler/cluster_test.cpp
@@ -73,9 +73,9 @@
 };
 
 TEST_F(ClusterTest, ASessionLivesForALeaseThoughItIsKnownByAnAnswerOnly) {
-    // Found in the lab: the worker's node stood still, its lease ran out, and the leader learnt of its
-    // new session by asking it. Work launched there was started elsewhere too, half a second later,
-    // when the lease of the former session had surely ended.
+    // Found in the lab: the worker's node stood still, its lease ran out, and the leader learnt of
+    // its new session by asking it. Work launched there was started elsewhere too, half a second
+    // later, when the lease of the former session had surely ended.
     Worker w("n-1"), other("n-2");
     exchange(w);
     clock.advance(settings.lease + 200ms);
--- a/src/testing/world.h
+++ b/src/testing/world.h
@@ -42,7 +42,7 @@
     explicit CloudService(World& world);
     [[nodiscard]] std::string address() const { return server_.address(); }
     std::set<std::string> deleted;
-    std::vector<std::string> rented;
+    std::vector<std::string> bookings;  // of requests to rent, all refused
 
   private:
     World& world_;
