--- a/src/lab/checker.cpp
+++ b/src/lab/checker.cpp
@@ -46,7 +46,7 @@
     void off(const Fact& e);
     void told(std::size_t i);
     void place(std::size_t i, const JobSpec& spec, const Known& job);
-    void quota(std::size_t i, const JobSpec& spec);
+    void quota(const JobSpec& spec);
     void overdue(double now);
 
     const History& h_;
@@ -59,7 +59,7 @@
     Verdict out_;
 };
 
-void Check::quota(std::size_t i, const JobSpec& spec) {
+void Check::quota(const JobSpec& spec) {
     const auto team = terms_.teams.find(spec.team);
     if (team == terms_.teams.end()) return;
     const auto& [cores, gpus] = use_[spec.team];
@@ -73,7 +73,6 @@
             for (const auto& [task, p] : job.on) proof.push_back(p.event);
     std::sort(proof.begin(), proof.end());
     wrong("quota", "team " + spec.team + " is above its limit", proof);
-    (void)i;
 }
 
 void Check::place(std::size_t i, const JobSpec& spec, const Known& job) {
@@ -120,7 +119,7 @@
     auto& [cores, gpus] = use_[spec->second.team];
     cores += spec->second.demand.cores;
     gpus += spec->second.demand.gpus;
-    quota(i, spec->second);
+    quota(spec->second);
     place(i, spec->second, job);
     if (job.cancelled) cancelledOn_.insert(e.job);
 }
--- a/src/lab/measures.cpp
+++ b/src/lab/measures.cpp
@@ -16,8 +16,10 @@
 namespace bh = boost::histogram;
 
 /// Times over some decades, each bin 5% wide.
-using Times = decltype(bh::make_histogram(
-    bh::axis::regular<double, bh::axis::transform::log>(300, 1e-3, 1e3)));
+auto noTimes() {
+    return bh::make_histogram(bh::axis::regular<double, bh::axis::transform::log>(300, 1e-3, 1e3));
+}
+using Times = decltype(noTimes());
 
 double quantile(const Times& times, double share) {
     const double all = bh::algorithm::sum(times);
@@ -46,11 +48,8 @@
     std::map<std::string, Times> times;
     const auto count = [&](const Fact& f, const char* what) {
         const std::string name = history.jobs.at(f.job).jobClass + ' ' + what;
-        auto [it, fresh] = times.try_emplace(
-            name, bh::make_histogram(
-                      bh::axis::regular<double, bh::axis::transform::log>(300, 1e-3, 1e3)));
-        it->second(std::max(f.at - submitted.at(f.job), 1e-3));
-        (void)fresh;
+        times.try_emplace(name, noTimes())
+            .first->second(std::max(f.at - submitted.at(f.job), 1e-3));
     };
     for (const auto& f : history.facts) {
         if (f.kind == Fact::Kind::submitted) submitted[f.job] = f.at;
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -174,11 +174,10 @@
     n.machine->halt();
 }
 
-void World::crash(Site& s, Node& n, double backS) {
+void World::crash(Node& n, double backS) {
     if (!n.controller) return;
     stop(n);
-    time_.after(fromSeconds(backS), [this, &s, &n] {
-        (void)s;
+    time_.after(fromSeconds(backS), [this, &n] {
         if (!n.controller) start(n);
     });
 }
@@ -328,7 +327,7 @@
                            [&](const auto& n) { return n->machine.get() == &m; });
     };
     if (f.kind == "node_crash") {
-        for (Node* n : some(s, f)) crash(s, *n, f.forS);
+        for (Node* n : some(s, f)) crash(*n, f.forS);
     } else if (f.kind == "node_freeze") {
         for (Node* n : some(s, f)) n->machine->freeze(fromSeconds(f.forS));
     } else if (f.kind == "node_stutter") {
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -30,7 +30,6 @@
         settings::Settings settings;
         std::unique_ptr<Machine> machine;
         std::unique_ptr<app::Controller> controller;
-        double stutter = 0;  // share of moments in which it stands still for a while
     };
     struct Site {
         SiteTerms terms;
@@ -49,7 +48,7 @@
     };
     void build(Site& site);
     void start(Node& node);
-    void crash(Site& site, Node& node, double backS);
+    void crash(Node& node, double backS);
     static void stop(Node& node);
     void arrive(Site& site);
     void submit(Site& site, const ClassTerms& terms);
