--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -80,7 +80,8 @@
                            mesh_.leaderIs(settings_.node);
                        },
                        [this](const std::string& node) { return mesh_.connected(node); },
-                       holder_.sinceUse(loop_.now())});
+                       holder_.sinceUse(loop_.now()),
+                       [this](unsigned f) { return mesh_.allKnowFormat(f, absentAfter); }});
                holder_.drop();
                reign_->start();
                mesh_.announce();
@@ -108,7 +109,8 @@
                                     hears ? known->token : 0,
                                     true,
                                     true,
-                                    incarnation};
+                                    incarnation,
+                                    Leadership::knownFormat};
              },
              [this](const mesh::Hello& hello) {
                  if (!hello.leading) {
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -19,7 +19,8 @@
 constexpr Duration gather = 10ms;
 const std::string experienceKey = "fleet/experience";
 constexpr Duration experienceEvery = 60s;
-constexpr std::size_t slice = 64;  // tasks placed before others get their turn
+constexpr unsigned partedFormat = 2;  // of the stored state, with chains and records in parts
+constexpr std::size_t slice = 64;     // tasks placed before others get their turn
 
 std::vector<loans::Lender::Node> othersOf(const settings::Settings& s) {
     std::vector<loans::Lender::Node> out;
@@ -57,12 +58,19 @@
                    kick();
                },
                [this] { written_.notify(); },
-               [this] { leadership_.stepDown("another leader's key is in place"); }}),
+               [this] { leadership_.stepDown("another leader's key is in place"); },
+               {},
+               [this](const std::string& key, std::size_t bytes) {
+                   spdlog::warn("state service does not take {} bytes for {}", bytes, key);
+                   cluster_.tooLarge(key, bytes);
+                   kick();
+               }}),
       cloud_(loop, settings, [this] { return leadership_.mayAct(); }),
       fleet_(cluster_, loop.now()),
       reach_(loop, settings.directSockets(), std::move(hooks.detour)),
       onLoaded_(std::move(hooks.loaded)),
-      speaks_(std::move(hooks.speaks)) {
+      speaks_(std::move(hooks.speaks)),
+      allKnow_(std::move(hooks.allKnow)) {
     cluster_.setOperator(operatorSettings);
     lender_.setLending(operatorSettings.zoneLoans);
     cluster_.setLender(lender_);
@@ -74,19 +82,25 @@
 
 Task<void> Reign::load() {
     while (!scope_.cancelled()) {
-        const state::Listing all = co_await state_.list(jobs::recordPrefix, scope_);
-        if (all.verdict != state::Verdict::ok) {
+        // Nobody else writes meanwhile: whoever did before is fenced by this leader's key.
+        state::Listing all = co_await state_.list(jobs::blockPrefix, scope_);
+        state::Listing parts;
+        if (all.verdict == state::Verdict::ok)
+            parts = co_await state_.list(jobs::partPrefix, scope_);
+        if (parts.verdict != state::Verdict::ok) {
             co_await loop_.sleep(200ms, scope_);
             continue;
         }
-        for (const auto& item : all.items) {
-            if (!cluster_.load(item.key, item.data, loop_.now(), loop_.clock().wall()))
-                spdlog::error("record {} is malformed and was skipped", item.key);
-            writer_.known(item.key, item.revision);
-        }
+        for (const auto* items : {&all.items, &parts.items})
+            for (const auto& item : *items) {
+                if (!cluster_.load(item.key, item.data, loop_.now(), loop_.clock().wall()))
+                    spdlog::error("record {} is malformed and was skipped", item.key);
+                writer_.known(item.key, item.revision);
+            }
         cluster_.loaded(loop_.now());
+        if (leadership_.format() >= partedFormat) cluster_.setParted();
         loaded_ = true;
-        spdlog::info("loaded {} records", all.items.size());
+        spdlog::info("loaded {} records", all.items.size() + parts.items.size());
         onLoaded_();
         scope_.spawn(writer_.run(scope_));
         scope_.spawn(schedule());
@@ -107,6 +121,27 @@
     scheduler::Effects effects = cluster_.take();
     for (const auto& [key, urgency] : effects.dirty) writer_.dirty(key, urgency);
     for (const MachineIndex m : effects.push) scope_.spawn(direct(m));
+    if (cluster_.wantsParted() && !raising_) scope_.spawn(raiseFormat());
+}
+
+Task<bool> Reign::parted() {
+    if (leadership_.format() < partedFormat) {
+        // A node that does not know it might lead next, and would lose what it cannot read.
+        if (!allKnow_(partedFormat) || !leadership_.mayAct()) co_return false;
+        const bool stands = co_await leadership_.raiseFormat(partedFormat, scope_);
+        if (!stands || scope_.cancelled()) co_return false;
+    }
+    cluster_.setParted();
+    co_return true;
+}
+
+Task<void> Reign::raiseFormat() {
+    raising_ = true;
+    const bool done = co_await parted();
+    // Not while an older version is there: asked again with a later write.
+    if (!done) co_await loop_.sleep(1s, scope_);
+    raising_ = false;
+    if (!scope_.cancelled()) flush();
 }
 
 Task<void> Reign::schedule() {
@@ -298,6 +333,30 @@
     co_return leadership_.mayAct();
 }
 
+Task<std::optional<http::Response>> Reign::refuseNeeds(const JobSpec& spec) {
+    using Wrong = scheduler::Cluster::Need::Wrong;
+    if (spec.needs.empty()) co_return std::nullopt;
+    const auto need = cluster_.wrongNeed(spec);
+    const auto because = [&](const char* why) {
+        return refuse(422, "waitsOn: " + need.id + ' ' + why);
+    };
+    switch (need.wrong) {
+        case Wrong::itself:
+            co_return because("is the job itself");
+        case Wrong::unknown:
+            co_return because("was never accepted");
+        case Wrong::service:
+            co_return because("is a service, which is never done");
+        case Wrong::unsure:
+            co_return later();  // its acceptance may stand or not
+        case Wrong::nothing:
+            break;
+    }
+    const bool can = co_await parted();
+    if (!can) co_return later();
+    co_return std::nullopt;
+}
+
 Task<http::Response> Reign::submit(std::string body) {
     auto parsed = jobs::parseSubmission(body);
     if (auto* why = std::get_if<std::string>(&parsed)) co_return refuse(400, *why);
@@ -307,6 +366,9 @@
     bool fresh = false;
     if (job == nullptr) {
         if (cluster_.catalogue().empty()) co_return later();
+        auto refused = co_await refuseNeeds(spec);
+        if (refused) co_return std::move(*refused);
+        if (!ready()) co_return later();
         switch (cluster_.submit(spec, loop_.now(), loop_.clock().wall())) {
             case scheduler::Submitted::unknownTeam:
                 co_return refuse(422, "unknown team");
--- a/src/app/reign.h
+++ b/src/app/reign.h
@@ -19,6 +19,8 @@
         std::function<void()> loaded;                    // from now on requests can be answered
         std::function<bool(const std::string&)> speaks;  // whether that node does
         Duration sinceUse{};                             // of a loan that this node held
+        /// No node that might lead next is known not to read that format of the stored state.
+        std::function<bool(unsigned format)> allKnow;
     };
     Reign(Loop& loop, const settings::Settings& settings,
           const settings::Operator& operatorSettings, state::Client& state, Leadership& leadership,
@@ -65,6 +67,10 @@
     Task<bool> stands(Fact fact);
     void kick();
     void flush();
+    /// May be written by now what only version 2 of the stored state holds.
+    Task<bool> parted();
+    Task<void> raiseFormat();
+    Task<std::optional<http::Response>> refuseNeeds(const JobSpec& spec);
 
     Loop& loop_;
     const settings::Settings& settings_;
@@ -82,7 +88,8 @@
     std::set<MachineIndex> asking_;
     std::function<void()> onLoaded_;
     std::function<bool(const std::string&)> speaks_;
-    bool loaded_ = false, dirty_ = false;
+    std::function<bool(unsigned)> allKnow_;
+    bool loaded_ = false, dirty_ = false, raising_ = false;
 };
 
 }  // namespace basaltchute::app
--- a/src/fleet/demand.cpp
+++ b/src/fleet/demand.cpp
@@ -43,15 +43,20 @@
 }
 
 void Fleet::measure(TimePoint now) {
+    std::map<std::string, bool> borrows;
     for (auto& [name, c] : classes_) c.now = 0;
     for (const Job* job : cluster_.openJobs()) {
         // What fails wherever it goes asks for no machines.
         if (job->suspect) continue;
         ClassDemand& c = classes_[job->spec.jobClass];
-        c.borrows = cluster_.borrows(*job);
+        // Some jobs of a class may borrow while others have the priority of work after them.
+        const bool lent = cluster_.borrows(*job);
+        const auto seen = borrows.try_emplace(job->spec.jobClass, lent).first;
+        c.borrows = seen->second = seen->second && lent;
         c.spotAllowed = job->spec.spotAllowed;
         c.each = job->spec.demand;
         c.imageGb = std::max(c.imageGb, job->spec.imageGb);
+        if (lent) continue;
         const double each = job->spec.demand.cores;
         c.now += each * (job->spec.tasks - job->doneCount);
         c.largestJob = std::max(c.largestJob, each * job->spec.tasks);
--- a/src/fleet/fleet_test.cpp
+++ b/src/fleet/fleet_test.cpp
@@ -27,7 +27,7 @@
     void submit(const std::string& id, std::uint32_t tasks) {
         cluster.submit(testing::spec(id, tasks), clock.now(), clock.wall());
         const auto key = cluster.take().dirty.at(0).first;
-        cluster.committed(key, cluster.encode(key).version);
+        cluster.committed(key, cluster.encode(key)->version);
     }
 };
 
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cctype>
 #include <numeric>
+#include <unordered_set>
 #include <utility>
 
 namespace basaltchute::jobs {
@@ -11,7 +12,12 @@
 namespace {
 
 constexpr std::uint64_t maxTasks = 100'000;
-constexpr std::size_t bytesPerTask = 40;  // of a record: index, attempt and machine name
+// Of a record: index, attempt and a machine's name of usual length. With longer ones a block is
+// split once it does not fit.
+constexpr std::size_t bytesPerTask = 26;
+constexpr std::size_t headBytes = 160;  // of a first block, beside description and tasks
+constexpr std::size_t fewestPerBlock = 8;
+constexpr std::size_t textBytes = 32;  // around a part of a description
 
 constexpr std::array<std::pair<const char*, Priority>, 4> priorities{
     {{"production", Priority::production},
@@ -41,6 +47,25 @@
         if (!b) fail(name);
         return b.value_or(false);
     }
+    /// Ids of jobs, each once.
+    std::vector<JobId> ids(const char* name) {
+        std::vector<JobId> out;
+        if (!given(name)) return out;
+        const auto* all = json::array(v_, name);
+        if (all == nullptr) {
+            fail(name);
+            return out;
+        }
+        std::unordered_set<JobId> seen;
+        for (const auto& id : all->GetArray()) {
+            if (!id.IsString() || !validId({id.GetString(), id.GetStringLength()})) {
+                fail(name);
+                return {};
+            }
+            if (seen.insert(id.GetString()).second) out.emplace_back(id.GetString());
+        }
+        return out;
+    }
     [[nodiscard]] bool given(const char* name) const { return json::find(v_, name) != nullptr; }
     void fail(const char* name) {
         if (wrong.empty()) wrong = name;
@@ -103,6 +128,7 @@
     s.checkpointS = f.amount("savepointS");
     s.saveS = f.amount("flushS");
     if (f.given("cutoffS")) s.deadlineS = f.amount("cutoffS");
+    s.needs = f.ids("waitsOn");
     if (!f.wrong.empty()) return "missing or invalid: " + f.wrong;
     return s;
 }
@@ -125,9 +151,62 @@
     o.field("together", s.oneZone).field("spread", s.spread).field("loaners", s.spotAllowed);
     o.field("parS", s.estimateS).field("savepointS", s.checkpointS).field("flushS", s.saveS);
     if (s.deadlineS) o.field("cutoffS", *s.deadlineS);
+    if (!s.needs.empty()) {
+        o.key("waitsOn").openArray();
+        for (const auto& id : s.needs) o.value(id);
+        o.closeArray();
+    }
     o.close();
 }
 
+std::string specText(const JobSpec& s) {
+    json::Out o;
+    writeSpec(o, s);
+    return o.text();
+}
+
+/// What may change of the job itself.
+void writeState(json::Out& o, const Job& job) {
+    if (job.cancelled && job.cancelledWith.empty())
+        o.field(job.cancelFinal ? "cancelled" : "withdrawing", true);
+    if (job.released) o.field("released", static_cast<std::int64_t>(job.released->count()));
+}
+
+void readState(const json::Value& v, Job& job) {
+    job.cancelFinal = job.cancelFinal || json::boolean(v, "cancelled").value_or(false);
+    job.cancelNoted = job.cancelNoted || json::boolean(v, "withdrawing").value_or(false);
+    job.cancelled = job.cancelFinal || job.cancelNoted;
+    job.cancelVersion = job.cancelFinal ? 1 : 0;
+    // A former leader may have told it at any time.
+    if (job.cancelFinal) job.toldAt = TimePoint{};
+    if (const auto at = json::number(v, "released"))
+        job.released = WallMillis(static_cast<std::int64_t>(*at));
+}
+
+/// Done tasks as pairs of first and last, the rest as [task, attempt] or with its machine.
+void writeTasks(json::Out& o, const Job& job, std::uint32_t from, std::uint32_t to,
+                const MachineName& name) {
+    o.key("done").openArray();
+    for (std::uint32_t i = from; i < to; ++i) {
+        if (job.tasks[i].state != TaskState::done) continue;
+        const std::uint32_t first = i;
+        while (i + 1 < to && job.tasks[i + 1].state == TaskState::done) ++i;
+        o.value(first).value(i);
+    }
+    o.closeArray().key("bound").openArray();
+    if (!job.cancelled || job.boundCount > 0) {
+        for (std::uint32_t i = from; i < to; ++i) {
+            const JobTask& t = job.tasks[i];
+            if (t.state == TaskState::done || t.attempt == 0) continue;
+            o.openArray().value(i).value(t.attempt);
+            if (t.state == TaskState::bound) o.value(name(t.machine));
+            if (t.state == TaskState::bound && t.guaranteed) o.value(true);
+            o.closeArray();
+        }
+    }
+    o.closeArray();
+}
+
 }  // namespace
 
 bool validId(std::string_view id) {
@@ -156,114 +235,138 @@
     return o.text();
 }
 
-std::string recordKey(const JobId& id, std::size_t record) {
-    return recordPrefix + id + (record == 0 ? "" : "/" + std::to_string(record));
-}
-
 std::unique_ptr<Job> makeJob(JobSpec spec, std::size_t valueBytes) {
     auto job = std::make_unique<Job>();
-    // A quarter of the first record is left for the job's description.
-    job->tasksPerRecord =
-        static_cast<std::uint32_t>(std::max<std::size_t>(16, valueBytes * 3 / 4 / bytesPerTask));
+    const std::size_t taken = headBytes + specText(spec).size();
+    const std::size_t room = valueBytes > taken ? valueBytes - taken : 0;
+    job->layout = Layout(spec.tasks,
+                         static_cast<std::uint32_t>(std::max(fewestPerBlock, room / bytesPerTask)));
     job->tasks.resize(spec.tasks);
     job->queue.resize(spec.tasks);
     std::iota(job->queue.rbegin(), job->queue.rend(), 0U);
-    job->records.resize((spec.tasks + job->tasksPerRecord - 1) / job->tasksPerRecord);
+    job->rank = spec.priority;
     job->spec = std::move(spec);
-    // Only the first record says that the job exists; the others appear with their first change.
-    for (std::size_t r = 1; r < job->records.size(); ++r) job->records[r] = {0, 0};
     return job;
 }
 
-std::string encodeRecord(const Job& job, std::size_t record, const MachineName& name) {
+std::string encodeBlock(const Job& job, std::uint32_t block, const MachineName& name) {
     json::Out o;
     o.open();
-    if (record == 0) {
-        o.key("spec");
-        writeSpec(o, job.spec);
-        o.field("at", static_cast<std::int64_t>(job.submitted.count()));
-        o.field("per", job.tasksPerRecord);
-        if (job.cancelled) o.field(job.cancelFinal ? "cancelled" : "withdrawing", true);
-    }
-    const auto from = static_cast<std::uint32_t>(record * job.tasksPerRecord);
-    const auto to = std::min(from + job.tasksPerRecord, job.spec.tasks);
-    // Done tasks as pairs of first and last, the rest as [task, attempt] or with its machine.
-    o.key("done").openArray();
-    for (std::uint32_t i = from; i < to; ++i) {
-        if (job.tasks[i].state != TaskState::done) continue;
-        const std::uint32_t first = i;
-        while (i + 1 < to && job.tasks[i + 1].state == TaskState::done) ++i;
-        o.value(first).value(i);
-    }
-    o.closeArray().key("bound").openArray();
-    if (!job.cancelled || job.boundCount > 0) {
-        for (std::uint32_t i = from; i < to; ++i) {
-            const JobTask& t = job.tasks[i];
-            if (t.state == TaskState::done || t.attempt == 0) continue;
-            o.openArray().value(i).value(t.attempt);
-            if (t.state == TaskState::bound) o.value(name(t.machine));
-            if (t.state == TaskState::bound && t.guaranteed) o.value(true);
-            o.closeArray();
+    const std::uint32_t per = job.layout.perBlock();
+    if (block == 0) {
+        if (job.layout.texts > 0)
+            o.field("texts", job.layout.texts);
+        else
+            o.key("spec").raw(specText(job.spec));
+        o.field("at", static_cast<std::int64_t>(job.submitted.count())).field("per", per);
+        writeState(o, job);
+        if (job.layout.bare()) {
+            o.field("bare", true).close();
+            return o.text();
         }
     }
-    o.closeArray().close();
+    const std::uint32_t from = block * per;
+    writeTasks(o, job, from, std::min(from + per, job.spec.tasks), name);
+    o.close();
+    return o.text();
+}
+
+std::string encodePart(const Job& job, const Stretch& part, const MachineName& name) {
+    json::Out o;
+    o.open();
+    writeTasks(o, job, part.from, part.end(), name);
+    o.close();
     return o.text();
 }
 
-bool decodeRecord(const std::string& key, const std::string& data, std::size_t valueBytes,
-                  const std::function<Job*(const JobId&)>& find,
-                  const std::function<Job*(std::unique_ptr<Job>)>& add, const MachineOf& machine) {
-    const auto doc = json::parse(data);
-    if (!doc || !doc->IsObject()) return false;
-    const std::string rest = key.substr(recordPrefix.size());
-    const auto slash = rest.find('/');
-    Job* job = nullptr;
-    std::size_t record = 0;
-    if (slash == std::string::npos) {
-        const auto* spec = json::find(*doc, "spec");
-        const auto at = json::number(*doc, "at");
-        const auto per = json::count(*doc, "per");
-        if (spec == nullptr || !at || !per || *per == 0) return false;
-        auto parsed = specOf(*spec);
-        if (!std::holds_alternative<JobSpec>(parsed)) return false;
-        auto made = makeJob(std::get<JobSpec>(std::move(parsed)), valueBytes);
-        made->tasksPerRecord = static_cast<std::uint32_t>(*per);
-        made->records.assign((made->spec.tasks + *per - 1) / *per, Job::Record{0, 0});
-        made->submitted = WallMillis(static_cast<std::int64_t>(*at));
-        made->cancelFinal = json::boolean(*doc, "cancelled").value_or(false);
-        made->cancelNoted = json::boolean(*doc, "withdrawing").value_or(false);
-        made->cancelled = made->cancelFinal || made->cancelNoted;
-        made->cancelVersion = made->cancelFinal ? 1 : 0;
-        // A former leader may have told it at any time.
-        if (made->cancelFinal) made->toldAt = TimePoint{};
-        job = add(std::move(made));
-    } else {
-        job = find(rest.substr(0, slash));
-        record = static_cast<std::size_t>(std::strtoul(rest.c_str() + slash + 1, nullptr, 10));
+std::string encodeHead(const Job& job) {
+    json::Out o;
+    o.open();
+    writeState(o, job);
+    o.close();
+    return o.text();
+}
+
+std::vector<std::string> encodeTexts(const Job& job, std::size_t valueBytes) {
+    const std::string all = specText(job.spec);
+    // Quoted, each byte takes two at most, as the text has no control characters.
+    const std::size_t each =
+        std::max<std::size_t>(16, (valueBytes - std::min(valueBytes, textBytes)) / 2);
+    std::vector<std::string> out;
+    for (std::size_t from = 0; from < all.size();) {
+        std::size_t to = std::min(all.size(), from + each);
+        while (to < all.size() && (static_cast<unsigned char>(all[to]) & 0xC0U) == 0x80U) --to;
+        json::Out o;
+        o.open().field("text", std::string_view(all).substr(from, to - from)).close();
+        out.push_back(o.text());
+        from = to;
+    }
+    return out;
+}
+
+std::optional<std::string> decodeText(const json::Value& record) {
+    return json::string(record, "text");
+}
+
+std::optional<std::uint32_t> textsOf(const json::Value& block) {
+    const auto n = json::count(block, "texts");
+    return n ? std::optional(static_cast<std::uint32_t>(*n)) : std::nullopt;
+}
+
+std::unique_ptr<Job> decodeJob(const json::Value& block, const std::string& texts,
+                               std::size_t valueBytes) {
+    std::optional<json::Document> apart;
+    const json::Value* spec = json::find(block, "spec");
+    if (textsOf(block)) {
+        apart = json::parse(texts);
+        spec = apart ? &*apart : nullptr;
+    }
+    const auto at = json::number(block, "at");
+    const auto per = json::count(block, "per");
+    if (spec == nullptr || !at || !per || *per == 0 || *per > maxTasks) return nullptr;
+    auto parsed = specOf(*spec);
+    if (!std::holds_alternative<JobSpec>(parsed)) return nullptr;
+    auto job = makeJob(std::get<JobSpec>(std::move(parsed)), valueBytes);
+    job->layout = Layout(job->spec.tasks, static_cast<std::uint32_t>(*per));
+    job->layout.texts = job->layout.textsDurable = textsOf(block).value_or(0);
+    job->submitted = WallMillis(static_cast<std::int64_t>(*at));
+    if (json::boolean(block, "bare").value_or(false)) job->layout.setBare();
+    readState(block, *job);
+    return job;
+}
+
+void decodeHead(const json::Value& record, Job& job) {
+    readState(record, job);
+}
+
+bool decodeTasks(const json::Value& record, const RecordName& name, Job& job,
+                 const MachineOf& machine) {
+    const bool part = name.kind == RecordName::Kind::part;
+    job.layout.restored(name);
+    if (part) {
+        // Newer than what other records say of these.
+        const std::uint32_t end =
+            std::min<std::uint64_t>(std::uint64_t{name.from} + name.count, job.spec.tasks);
+        for (std::uint32_t t = name.from; t < end; ++t) job.tasks[t] = JobTask{};
     }
-    if (job == nullptr || record >= job->records.size()) return false;
-    job->records[record] = {1, 1};
-    if (const auto* done = json::array(*doc, "done")) {
+    if (const auto* done = json::array(record, "done")) {
         for (unsigned i = 0; i + 1 < done->Size(); i += 2) {
             if (!(*done)[i].IsUint() || !(*done)[i + 1].IsUint()) return false;
             for (std::uint32_t t = (*done)[i].GetUint();
-                 t <= (*done)[i + 1].GetUint() && t < job->spec.tasks; ++t) {
-                job->tasks[t].state = TaskState::done;
-                ++job->doneCount;
-            }
+                 t <= (*done)[i + 1].GetUint() && t < job.spec.tasks; ++t)
+                job.tasks[t].state = TaskState::done;
         }
     }
-    if (const auto* bound = json::array(*doc, "bound")) {
+    if (const auto* bound = json::array(record, "bound")) {
         for (const auto& b : bound->GetArray()) {
             if (!b.IsArray() || b.Size() < 2 || !b[0].IsUint() || !b[1].IsUint64()) return false;
-            if (b[0].GetUint() >= job->spec.tasks) return false;
-            JobTask& t = job->tasks[b[0].GetUint()];
+            if (b[0].GetUint() >= job.spec.tasks) return false;
+            JobTask& t = job.tasks[b[0].GetUint()];
             t.attempt = b[1].GetUint64();
             if (b.Size() < 3 || !b[2].IsString()) continue;
             t.state = TaskState::bound;
             t.machine = machine(b[2].GetString());
             t.guaranteed = b.Size() > 3 && b[3].IsTrue();
-            ++job->boundCount;
         }
     }
     return true;
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "jobs/layout.h"
 #include "runtime/clock.h"
 #include "runtime/loop.h"
 
@@ -52,6 +53,14 @@
     bool oneZone = false, spread = false, spotAllowed = false;
     double estimateS = 0, checkpointS = 0, saveS = 0;
     std::optional<double> deadlineS;
+    std::vector<JobId> needs;  // that have to be done before any task of it starts; each once
+};
+
+/// When a job has to be over to meet the first and the last of the deadlines that count for it.
+struct Ends {
+    static constexpr TimePoint never = TimePoint::max();
+    TimePoint first = never, last = never;
+    bool operator==(const Ends&) const = default;
 };
 
 enum class TaskState : std::uint8_t { waiting, bound, done };
@@ -72,12 +81,22 @@
     JobSpec spec;
     WallMillis submitted{};
     TimePoint submittedAt{};
+    /// From when its waiting counts: its submission, or when the last job that it needs was done.
+    TimePoint releasedAt{};
+    std::optional<WallMillis> released;  // the latter, for the record
+    /// Some job that it needs is not done: no task of it starts, and it counts nowhere.
+    bool held = false;
+    JobId cancelledWith;  // the job before it that was cancelled, and this one with it
+    /// Its own priority or a higher one that a job after it has, and when jobs after it want it
+    /// to be over.
+    Priority rank = Priority::normal;
+    Ends ends{};
     /// Its user has asked to withdraw it: no task starts any more, and all are stopped.
     bool cancelled = false;
     /// And may be told so: whatever may still run ends in time. Until then the record says that it
     /// is being withdrawn, and polls are answered as before.
     bool cancelFinal = false;
-    std::uint64_t cancelVersion = 0;  // of the first record, when it became final
+    std::uint64_t cancelVersion = 0;  // of the record of the job itself, when it became final
     TimePoint cancelAskedAt{};
     bool cancelNoted = false;         // on record as being withdrawn
     std::optional<TimePoint> toldAt;  // when a user was first told; the past if unknown
@@ -90,12 +109,7 @@
     static constexpr std::size_t notQueued = SIZE_MAX;
     /// Tasks that are possibly in each zone; under "" those on machines not heard of yet.
     std::map<std::string, std::uint32_t> perZone;
-    /// One record per block of tasks; the first also holds the job itself.
-    struct Record {
-        std::uint64_t version = 1, durable = 0;
-    };
-    std::vector<Record> records;
-    std::uint32_t tasksPerRecord = 1;
+    jobs::Layout layout;  // of its records
     // A job whose tasks fail on several machines is its owner's mistake: tried ever more rarely.
     std::map<MachineIndex, TimePoint> failedOn;
     std::uint32_t failures = 0;
@@ -105,10 +119,9 @@
     Duration longestFailure{};  // the longest that a task of it ran before it failed
     TimePoint notBefore{};
 
-    [[nodiscard]] std::size_t recordOf(std::uint32_t task) const { return task / tasksPerRecord; }
-    [[nodiscard]] bool accepted() const { return records[0].durable > 0; }
+    [[nodiscard]] bool accepted() const { return layout.accepted(); }
     [[nodiscard]] bool cancelDurable() const {
-        return cancelFinal && records[0].durable >= cancelVersion;
+        return cancelFinal && layout.head().durable >= cancelVersion;
     }
     [[nodiscard]] std::uint32_t waitingCount() const { return spec.tasks - doneCount - boundCount; }
     /// The next task to be placed; there must be one.
@@ -117,12 +130,7 @@
         return queue.back();
     }
     [[nodiscard]] bool allDone() const { return doneCount == spec.tasks; }
-    [[nodiscard]] bool doneDurable() const {
-        if (!allDone()) return false;
-        for (const auto& r : records)
-            if (r.durable < r.version) return false;
-        return true;
-    }
+    [[nodiscard]] bool doneDurable() const { return allDone() && layout.durable(); }
     [[nodiscard]] bool open() const { return !cancelled && !allDone(); }
 };
 
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -101,7 +101,7 @@
         x.cancelWithin = fromSeconds(s.terms.cancelS);
         x.stateRps = s.terms.state.rps;
         x.stateWriteRps = s.terms.state.writeRps;
-        x.valueBytes = s.terms.state.valueBytes;
+        x.valueBytes = x.valueBytesNow = s.terms.state.valueBytes;
         x.txnOps = s.terms.state.txnOps;
         x.cloudRps = s.terms.cloudRps;
         x.listLag = fromSeconds(s.terms.listLagS);
--- a/src/leadership/leadership.cpp
+++ b/src/leadership/leadership.cpp
@@ -33,6 +33,28 @@
     return doc ? json::string(*doc, "node") : std::nullopt;
 }
 
+struct Counter {
+    Token token = 0;
+    unsigned format = 1;
+};
+/// From format 2 on the last token has another name, so that versions that would lose what is
+/// stored call the counter malformed, and do not campaign.
+std::optional<Counter> counterIn(const state::Item& item) {
+    const auto doc = json::parse(item.data);
+    if (!doc || !doc->IsObject()) return std::nullopt;
+    const auto format = json::count(*doc, "format").value_or(1);
+    const auto token = json::count(*doc, format > 1 ? "last" : "token");
+    if (!token) return std::nullopt;
+    return Counter{*token, static_cast<unsigned>(format)};
+}
+std::string counterText(const Counter& c, const std::string& node) {
+    json::Out out;
+    out.open().field(c.format > 1 ? "last" : "token", c.token).field("node", node);
+    if (c.format > 1) out.field("format", c.format);
+    out.close();
+    return out.text();
+}
+
 /// Nothing if it cannot be read: then nobody may rely on what it says.
 std::optional<std::set<std::string>> absentIn(const state::Item* item) {
     if (item == nullptr) return std::set<std::string>{};
@@ -190,39 +212,44 @@
     const state::Item* last = itemAt(all, tokenKey);
     lastElected_ = electedBy(last, node_);
     if (!mayCampaign()) co_return false;  // somebody else was elected, and is gone, meanwhile
-    Token next = 1;
+    Counter counter;
     if (last != nullptr) {
-        const auto doc = json::parse(last->data);
-        const auto used = doc ? json::count(*doc, "token") : std::nullopt;
-        if (!used) {
-            spdlog::error("the token counter is malformed: {}", last->data);
+        const auto used = counterIn(*last);
+        if (!used || used->format > knownFormat) {
+            if (!used)
+                spdlog::error("the token counter is malformed: {}", last->data);
+            else
+                spdlog::error(
+                    "the stored state is of format {}, and this version knows {}: it follows only",
+                    used->format, knownFormat);
             co_await loop_.sleep(1s, scope);
             co_return false;
         }
-        next = *used + 1;
+        counter = *used;
     }
+    ++counter.token;
     const state::Granted grant = co_await client_.grant(life_, scope);
     if (grant.verdict != Verdict::ok) co_return false;
     json::Out holder;
     holder.open().field("node", node_).field("incarnation", incarnation_);
-    holder.field("token", next).field("grant", grant.id).close();
-    json::Out counter;
-    counter.open().field("token", next).field("node", node_).close();
+    holder.field("token", counter.token).field("grant", grant.id).close();
     state::Transaction txn;
     // Guarded by what was read: a leader that has listed this node since is not displaced.
     txn.guards = {{holderKey, 0},
                   {tokenKey, last != nullptr ? last->revision : 0},
                   {absentKey, absent != nullptr ? absent->revision : 0}};
-    txn.puts = {{holderKey, holder.text(), grant.id}, {tokenKey, counter.text(), std::nullopt}};
+    txn.puts = {{holderKey, holder.text(), grant.id},
+                {tokenKey, counterText(counter, node_), std::nullopt}};
     const state::Committed won = co_await client_.commit(std::move(txn), scope);
     if (won.verdict != Verdict::ok) {
         // If the answer was lost the key may be ours yet; without the grant it cannot stay.
         co_await client_.drop(grant.id, scope);
         co_return false;
     }
-    token_ = next;
+    token_ = counter.token;
+    format_ = counter.format;
     grant_ = grant.id;
-    holder_ = won.revision;
+    holder_ = counterAt_ = won.revision;
     absent_ = *listed;
     written_ = listed;
     absentAt_ = absent != nullptr ? absent->revision : 0;
@@ -271,6 +298,32 @@
     if (now.verdict == Verdict::notFound) absentAt_ = 0;
 }
 
+Task<bool> Leadership::raiseFormat(unsigned format, Scope& scope) {
+    if (format_ >= format) co_return true;
+    const Token mine = token_;
+    state::Transaction txn;
+    txn.guards = {{holderKey, holder_}, {tokenKey, counterAt_}};
+    txn.puts = {{tokenKey, counterText({mine, format}, node_), std::nullopt}};
+    const state::Committed done = co_await client_.commit(std::move(txn), scope);
+    state::Found now;
+    if (done.verdict == Verdict::conflict && !scope.cancelled())
+        now = co_await client_.get(tokenKey, scope);
+    if (token_ != mine || scope.cancelled()) co_return false;
+    if (done.verdict == Verdict::ok) {
+        counterAt_ = done.revision;
+        format_ = format;
+        spdlog::info("the stored state is of format {} from now on", format);
+    } else if (now.verdict == Verdict::ok) {
+        // An earlier try of this leader's stood after all, if it is this one's.
+        const auto counter = counterIn(*now.item);
+        if (counter && counter->token == mine) {
+            counterAt_ = now.item->revision;
+            format_ = counter->format;
+        }
+    }
+    co_return format_ >= format;
+}
+
 Task<void> Leadership::lead(Scope& scope) {
     leading_ = true;
     known_ = LeaderHint{node_, token_};
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -48,6 +48,13 @@
     void stepDown(const std::string& why);
     /// Steps down for good: this node is ending.
     void retire();
+    /// What the stored state may hold by now: an election by a version that does not know it fails.
+    [[nodiscard]] unsigned format() const { return format_; }
+    /// Puts on record that the state may hold what only `format` knows, before any of it is
+    /// written; true once that stands. There is no way back.
+    Task<bool> raiseFormat(unsigned format, Scope& scope);
+    /// What this version knows: 1, the first; 2, chains of jobs and records in parts.
+    static constexpr unsigned knownFormat = 2;
     [[nodiscard]] static Duration lifeFor(const settings::Settings& settings);
 
   private:
@@ -72,7 +79,8 @@
     bool leading_ = false, stateAnswers_ = false, resign_ = false, retired_ = false;
     Token token_ = 0;
     state::GrantId grant_ = 0;
-    state::Revision holder_ = 0;
+    state::Revision holder_ = 0, counterAt_ = 0;
+    unsigned format_ = 1;
     TimePoint rightUntil_{};
     TimePoint startedAt_, pledgedUntil_{};
     bool campaigning_ = false;
--- a/src/mesh/mesh.capnp
+++ b/src/mesh/mesh.capnp
@@ -24,6 +24,7 @@
   loans @5 :Bool;    # knows Borrow and Loan; a node of an older version would end the link
   handsOn @7 :Bool;  # reckons with loans that holders hand on to each other
   process @6 :Text;  # drawn at its start: a node that was started again is another party
+  format @8 :UInt16 = 1;  # of the stored state, the newest that this node knows
 }
 
 # Asks the receiver not to campaign for a while: no node reaches the state service, and the
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -46,6 +46,7 @@
         h.setLoans(m.hello->loans);
         h.setHandsOn(m.hello->handsOn);
         h.setProcess(m.hello->process.c_str());
+        h.setFormat(static_cast<std::uint16_t>(m.hello->format));
     } else if (m.request) {
         auto r = frame.initRequest();
         r.setId(m.id);
@@ -106,9 +107,9 @@
         const auto frame = reader.getRoot<wire::Frame>();
         if (frame.isHello()) {
             const auto h = frame.getHello();
-            into.hello =
-                Hello{text(h.getNode()), h.getLeading(), h.getToken(),   h.getReady(),
-                      h.getHears(),      h.getLoans(),   h.getHandsOn(), text(h.getProcess())};
+            into.hello = Hello{text(h.getNode()), h.getLeading(),       h.getToken(),
+                               h.getReady(),      h.getHears(),         h.getLoans(),
+                               h.getHandsOn(),    text(h.getProcess()), h.getFormat()};
         } else if (frame.isRequest()) {
             const auto r = frame.getRequest();
             into.id = r.getId();
@@ -401,6 +402,16 @@
     return it != links_.end() && it->second->hello && it->second->hello->loans;
 }
 
+bool Mesh::allKnowFormat(unsigned format, Duration absentAfter) const {
+    const auto silent = silentFor(absentAfter);
+    return std::all_of(peers_.begin(), peers_.end(), [&](const auto& p) {
+        const auto it = links_.find(p.name);
+        const bool there = connected(p.name);
+        return there ? it->second->hello && it->second->hello->format >= format
+                     : silent.contains(p.name);
+    });
+}
+
 bool Mesh::allHandOn() const {
     return std::all_of(peers_.begin(), peers_.end(), [&](const auto& p) {
         const auto said = handsOn_.find(p.name);
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -25,6 +25,7 @@
     bool loans = false;     // understands loans: an older version would end the link
     bool handsOn = false;   // reckons with loans that are handed on
     std::string process{};  // drawn at its start; empty: an older version
+    unsigned format = 1;    // of the stored state, the newest that it knows
 };
 enum class Purpose { leader, stateService, worker };
 struct Pledge {
@@ -76,6 +77,9 @@
     /// Whether every other node has said, the last time that it was heard, that it reckons with
     /// loans that are handed on: any of them may lead next.
     [[nodiscard]] bool allHandOn() const;
+    /// Whether every other node has said that it knows that format of the stored state, but for
+    /// those that have not been reached for so long.
+    [[nodiscard]] bool allKnowFormat(unsigned format, Duration absentAfter) const;
     /// Nodes that there has been no connection to for so long.
     [[nodiscard]] std::set<std::string> silentFor(Duration span) const;
     /// Through whichever other node reaches the state service.
--- a/src/runtime/budget.h
+++ b/src/runtime/budget.h
@@ -16,6 +16,14 @@
         return have_;
     }
     [[nodiscard]] double burst() const { return burst_; }
+    [[nodiscard]] double rate() const { return rate_; }
+    /// Another rate from now on, and a burst in proportion.
+    void setRate(double rate, TimePoint now) {
+        available(now);
+        burst_ *= rate / rate_;
+        rate_ = rate;
+        have_ = std::min(have_, burst_);
+    }
     bool take(TimePoint now, double n = 1) {
         if (available(now) < n) return false;
         have_ -= n;
--- a/src/scheduler/cluster.cpp
+++ b/src/scheduler/cluster.cpp
@@ -21,82 +21,12 @@
 }  // namespace
 
 Cluster::Cluster(const settings::Settings& settings, Token token)
-    : settings_(settings), token_(token) {}
+    : settings_(settings), token_(token), valueBytes_(settings.valueBytes) {}
 
 TimePoint Cluster::leaseEnd(TimePoint renewed) const {
     return renewed + settings_.lease + settings_.lease / 1000 + leaseMargin;
 }
 
-// ---------------------------------------------------------------- records
-
-void Cluster::touch(Job& job, std::uint32_t task, Urgency urgency) {
-    const std::size_t r = job.recordOf(task);
-    ++job.records[r].version;
-    effects_.dirty.emplace_back(jobs::recordKey(job.spec.id, r), urgency);
-}
-
-bool Cluster::load(const std::string& key, const std::string& data, TimePoint now,
-                   WallMillis wall) {
-    now_ = now;
-    return jobs::decodeRecord(
-        key, data, settings_.valueBytes, [&](const JobId& id) { return find(id); },
-        [&](std::unique_ptr<Job> job) {
-            job->submittedAt = now - std::max(WallMillis(0), wall - job->submitted);
-            Job* raw = job.get();
-            jobs_[raw->spec.id] = std::move(job);
-            return raw;
-        },
-        [&](const std::string& name) { return machines_.indexOf(name); });
-}
-
-void Cluster::loaded(TimePoint now) {
-    for (auto& [id, job] : jobs_) {
-        if (job->open()) opened(*job);
-        if (job->cancelled) withdrawn_.insert(job.get());
-        for (std::uint32_t t = 0; t < job->spec.tasks; ++t) {
-            const JobTask& task = job->tasks[t];
-            if (task.state != TaskState::bound) continue;
-            Charge c;
-            c.job = job.get();
-            c.task = t;
-            c.attempt = task.attempt;
-            c.sent = c.recovered = true;
-            charge(task.machine, std::move(c));
-        }
-    }
-    // The former leader's right had ended before this one's began.
-    for (MachineIndex i = 0; i < machines_.size(); ++i) {
-        machines_[i].leaseEnd = leaseEnd(now);
-        attendAt(i, machines_[i].leaseEnd);
-    }
-}
-
-state::Encoded Cluster::encode(const std::string& key) const {
-    const std::string rest = key.substr(jobs::recordPrefix.size());
-    const auto slash = rest.find('/');
-    const Job& job = *jobs_.at(rest.substr(0, slash));
-    const std::size_t r = slash == std::string::npos ? 0 : std::stoul(rest.substr(slash + 1));
-    return {jobs::encodeRecord(
-                job, r, [&](MachineIndex i) -> const std::string& { return machines_[i].name; }),
-            job.records[r].version};
-}
-
-void Cluster::committed(const std::string& key, std::uint64_t version) {
-    const std::string rest = key.substr(jobs::recordPrefix.size());
-    const auto slash = rest.find('/');
-    Job& job = *jobs_.at(rest.substr(0, slash));
-    const std::size_t r = slash == std::string::npos ? 0 : std::stoul(rest.substr(slash + 1));
-    const bool justAccepted = r == 0 && !job.accepted() && job.records.size() > 1;
-    job.records[r].durable = std::max(job.records[r].durable, version);
-    if (!job.open() && !job.cancelled) return;
-    const auto from = static_cast<std::uint32_t>(r * job.tasksPerRecord);
-    const auto to = std::min(from + job.tasksPerRecord, job.spec.tasks);
-    for (std::uint32_t t = from; t < (justAccepted ? job.spec.tasks : to); ++t)
-        if (job.tasks[t].state == TaskState::bound &&
-            (job.cancelled || job.tasks[t].phase == Phase::binding))
-            effects_.push.insert(job.tasks[t].machine);
-}
-
 // ---------------------------------------------------------------- users
 
 Job* Cluster::find(const JobId& id) {
@@ -125,18 +55,20 @@
     if ((team->coresMax > 0 && spec.demand.cores * n > team->coresMax) ||
         (team->gpusMax > 0 && spec.demand.gpus * n > team->gpusMax))
         return Submitted::overLimit;
-    auto job = jobs::makeJob(spec, settings_.valueBytes);
+    auto job = jobs::makeJob(spec, valueBytes_);
     job->submitted = wall;
-    job->submittedAt = now;
-    job->records[0].version = 0;
+    job->submittedAt = job->releasedAt = now;
     now_ = now;
     Job& ref = *job;
     jobs_[spec.id] = std::move(job);
     spdlog::debug("{} of {}: {} tasks of {} cores, {:.0f} s each, rank {}, saves every {} s",
                   spec.id, spec.jobClass, spec.tasks, spec.demand.cores, spec.estimateS,
                   static_cast<int>(spec.priority), spec.checkpointS);
-    opened(ref);
-    touch(ref, 0, Urgency::users);
+    touchHead(ref, Urgency::users);
+    if (spec.needs.empty())
+        opened(ref);
+    else
+        enterChain(ref);
     return Submitted::fresh;
 }
 
@@ -144,7 +76,10 @@
     if (job.cancelled || job.allDone()) return;
     job.cancelled = true;
     job.cancelAskedAt = now;
-    closed(job);
+    if (job.held)
+        unhold(job);
+    else
+        closed(job);
     // Bindings whose launch never left need no proof.
     for (const JobTask& t : job.tasks) {
         if (t.state != TaskState::bound) continue;
@@ -191,12 +126,12 @@
         Job& job = **it;
         if (!job.cancelFinal && tellable(job, now)) {
             job.cancelFinal = true;
-            touch(job, 0, Urgency::users);
-            job.cancelVersion = job.records[0].version;
+            touchHead(job, Urgency::users);
+            job.cancelVersion = job.layout.head().version;
         } else if (!job.cancelFinal && !job.cancelNoted && now - job.cancelAskedAt > noteAfter) {
             // So that a successor does not start it again.
             job.cancelNoted = true;
-            touch(job, 0, Urgency::users);
+            touchHead(job, Urgency::users);
         }
         it = job.cancelFinal && job.perZone.empty() ? withdrawn_.erase(it) : std::next(it);
     }
@@ -234,7 +169,7 @@
 void Cluster::listWaiting(Job& job) {
     // Placed even before it is accepted: acceptance and bindings are then one change of one
     // record, and nothing is launched before that stands.
-    const bool waits = job.open() && job.waitingCount() > 0;
+    const bool waits = job.open() && !job.held && job.waitingCount() > 0;
     const bool listed = job.queuedAt != Job::notQueued;
     if (waits == listed) return;
     if (waits) {
@@ -267,7 +202,7 @@
     job.queue.push_back(task);
     newWork_ = true;
     listWaiting(job);
-    touch(job, task, Urgency::rest);
+    touch(job, task, Urgency::progress);
 }
 
 void Cluster::finish(Job& job, std::uint32_t task) {
@@ -283,7 +218,7 @@
     ++job.doneCount;
     job.suspect = false;
     // Users wait for the last result, nobody for those before it.
-    touch(job, task, job.allDone() ? Urgency::bindings : Urgency::rest);
+    touch(job, task, job.allDone() ? Urgency::bindings : Urgency::progress);
     if (job.allDone())
         closed(job);
     else
@@ -319,12 +254,12 @@
     listWaiting(job);
     // Low-priority work is bound by what the others leave of the write rate: a large array once
     // held up everybody's bindings.
-    touch(job, task, job.spec.priority == Priority::low ? Urgency::rest : Urgency::bindings);
+    touch(job, task, job.rank == Priority::low ? Urgency::rest : Urgency::bindings);
     Charge c;
     c.job = &job;
     c.task = task;
     c.attempt = t.attempt;
-    c.version = job.records[job.recordOf(task)].version;
+    c.version = job.layout.of(task).version;
     c.cells = std::move(cells);
     t.guaranteed = !c.cells.empty();
     charge(machine, std::move(c));
@@ -446,6 +381,7 @@
         attend(i, now);
     }
     settleWithdrawn(now);
+    followChains(now);
 }
 
 }  // namespace basaltchute::scheduler
--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "chains/chains.h"
 #include "fleet/catalogue.h"
 #include "jobs/job.h"
 #include "loans/lender.h"
@@ -35,14 +36,37 @@
     [[nodiscard]] const std::map<std::string, cells::Pool>& pools() const { return pools_; }
 
     // Records
+    /// All records under both prefixes of jobs, in any order; false if this one is malformed.
     bool load(const std::string& key, const std::string& data, TimePoint now, WallMillis wall);
     void loaded(TimePoint now);
-    [[nodiscard]] state::Encoded encode(const std::string& key) const;
+    /// Nothing if what it held is to be written under other keys, or cannot be written now.
+    [[nodiscard]] std::optional<state::Encoded> encode(const std::string& key);
     void committed(const std::string& key, std::uint64_t version);
+    /// The state service does not take a value of that size.
+    void tooLarge(const std::string& key, std::size_t bytes);
+    /// Records that a version without chains and parts cannot read may be written from now on.
+    void setParted();
+    /// Something waits for that.
+    [[nodiscard]] bool wantsParted() const { return !oversized_.empty(); }
 
     // Users
     [[nodiscard]] Job* find(const JobId& id);
     Submitted submit(const JobSpec& spec, TimePoint now, WallMillis wall);
+    /// What is wrong with a job that a submission says it needs.
+    struct Need {
+        enum class Wrong { nothing, itself, unknown, service, unsure } wrong = Wrong::nothing;
+        JobId id;
+    };
+    [[nodiscard]] Need wrongNeed(const JobSpec& spec) const;
+    [[nodiscard]] const chains::Graph& chains() const { return chains_; }
+    /// Jobs that wait for others.
+    struct ById {
+        bool operator()(const Job* a, const Job* b) const { return a->spec.id < b->spec.id; }
+    };
+    using JobSet = std::set<Job*, ById>;
+    [[nodiscard]] const JobSet& heldJobs() const { return held_; }
+    /// From its release until its last task is done, as estimated.
+    [[nodiscard]] Duration takes(const JobSpec& spec) const;
     /// No task of it starts any more, and all are stopped. It is final, and may be told, once
     /// whatever may still run ends within the time that users are promised.
     void cancel(Job& job, TimePoint now);
@@ -111,7 +135,7 @@
     [[nodiscard]] Turn turn(const Job& job, TimePoint now, std::size_t given = 0) const;
     /// Runs on what others leave idle: low priority, beyond its team's guarantee, and it ends.
     [[nodiscard]] bool borrows(const Job& job) const {
-        return job.spec.priority == Priority::low && job.spec.shape != Shape::service &&
+        return job.rank == Priority::low && job.spec.shape != Shape::service &&
                !withinGuarantee(job);
     }
     /// How long a task of it runs, by its owner's estimate and what such estimates were worth.
@@ -141,6 +165,27 @@
     /// The longest a worker may still hold a lease that was renewed then, by our clock.
     [[nodiscard]] TimePoint leaseEnd(TimePoint renewed) const;
     void touch(Job& job, std::uint32_t task, state::Urgency urgency);
+    void touchHead(Job& job, state::Urgency urgency);
+    [[nodiscard]] std::string encoded(const Job& job, const jobs::RecordName& name) const;
+    [[nodiscard]] std::optional<state::Encoded> encodeTasks(Job& job, const jobs::RecordName& name);
+    void restore();
+    /// Writes the description in records beside the job, which come before it.
+    void spread(Job& job);
+    Job& add(std::unique_ptr<Job> job);
+
+    // Chains
+    void restoreChains();
+    void joinChain(const Job& job);
+    /// A job that was submitted waits, may start, or is cancelled with another, as its needs stand.
+    void enterChain(Job& job);
+    /// Carries out what follows from what stands by now.
+    void followChains(TimePoint now);
+    void unhold(Job& job);
+    void release(Job& job, TimePoint now);
+    void cancelWith(Job& job, const JobId& with);
+    void heed(Job& job);
+    [[nodiscard]] Ends endsOf(const Job& job) const;
+    void learnTakes(TimePoint now);
     void bind(Job& job, std::uint32_t task, MachineIndex machine,
               std::vector<cells::CellIndex> cells = {});
     void finish(Job& job, std::uint32_t task);
@@ -232,8 +277,18 @@
     Token token_;
     fleet::Catalogue catalogue_;
     std::unordered_map<JobId, std::unique_ptr<Job>> jobs_;
-    std::vector<Job*> open_;
-    std::set<Job*> withdrawn_;  // that are not final, or may still run somewhere
+    std::vector<Job*> open_;  // but for those that wait for others
+    chains::Graph chains_;
+    JobSet held_;
+    std::map<std::string, double> takesAt_;  // bias by class, as the chains reckon with it
+    TimePoint learntAt_{};
+    /// Records by key that were read before what they belong to; they are applied in the end.
+    std::map<std::string, std::string> read_;
+    std::size_t valueBytes_;           // what a value is to fit into
+    bool parted_ = false;              // every reader knows parts
+    std::set<std::string> oversized_;  // keys that wait for that
+    WallMillis wall_{};                // when records were read
+    std::set<Job*> withdrawn_;         // that are not final, or may still run somewhere
     loans::Lender* lender_ = nullptr;
     std::set<std::string> away_;
     workers::Registry machines_;
--- a/src/scheduler/cluster_test.cpp
+++ b/src/scheduler/cluster_test.cpp
@@ -118,7 +118,8 @@
     const auto dirty = cluster->take().dirty;
     for (const auto& d : dirty) EXPECT_EQ(d.first, dirty[0].first);
     const auto encoded = cluster->encode(dirty[0].first);
-    cluster->committed(dirty[0].first, encoded.version);
+    ASSERT_TRUE(encoded);
+    cluster->committed(dirty[0].first, encoded->version);
     EXPECT_EQ(beat(w).size(), 1U);
 }
 
@@ -582,11 +583,11 @@
     Job& job = running(w, s);
     w.set(0, TaskStatus::exited, ExitCause::done);
     beat(w);
-    const auto stands = cluster->encode("jobs/run-1").version;
+    const auto stands = cluster->encode("jobs/run-1")->version;
     w.set(1, TaskStatus::exited, ExitCause::done);
     beat(w);  // the record changes again before the first result stands
     cluster->committed("jobs/run-1", stands);
-    ASSERT_LT(job.records[0].durable, job.records[0].version);
+    ASSERT_LT(job.layout.head().durable, job.layout.head().version);
     const auto orders = beat(w);
     ASSERT_EQ(orders.size(), 1U) << "the second result does not stand yet";
     EXPECT_EQ(orders[0].verb, Verb::forget);
--- a/src/scheduler/guarantees.cpp
+++ b/src/scheduler/guarantees.cpp
@@ -184,8 +184,7 @@
         // Only what is borrowed gives way: work of another team beyond its guarantee, or of a
         // lower priority.
         const bool room = makeRoom(job, m, [&](const Charge& c) {
-            return c.cells.empty() &&
-                   (c.job->spec.team != team || c.job->spec.priority > job.spec.priority);
+            return c.cells.empty() && (c.job->spec.team != team || c.job->rank > job.rank);
         });
         if (room) {
             bind(job, task, m, *found);
--- a/src/scheduler/offers.cpp
+++ b/src/scheduler/offers.cpp
@@ -101,10 +101,13 @@
         std::uint32_t waiting = 0;
         for (const auto& t : job->tasks) waiting += t.state == TaskState::waiting ? 1 : 0;
         if (waiting != job->waitingCount()) return "the tasks that wait of " + id;
-        if ((job->queuedAt != Job::notQueued) != (job->open() && waiting > 0))
+        if ((job->queuedAt != Job::notQueued) != (job->open() && !job->held && waiting > 0))
             return "whether " + id + " is listed";
+        if (job->held != held_.contains(job.get()) || (job->held && !job->open()))
+            return "whether " + id + " waits for others";
+        if (!job->held && job->boundCount > 0 && chains_.waits(id)) return id + " is too early";
     }
-    return "";
+    return chains_.check();
 }
 
 }  // namespace basaltchute::scheduler
--- a/src/scheduler/order.cpp
+++ b/src/scheduler/order.cpp
@@ -20,25 +20,32 @@
     const Duration run = runTime(job.spec);
     Turn u;
     std::vector<TimePoint> open;  // latest starts that still serve an objective
-    const auto consider = [&](Duration within, Duration needs) {
-        last = std::max(last, within * 4);
-        const TimePoint latestStart = job.submittedAt + within - needs;
+    const auto considerBy = [&](TimePoint latestStart) {
         if (latestStart < now)
             ++u.missed;
         else
             open.push_back(latestStart);
     };
+    // What it waited for others is no wait of its own; its deadline counts from its submission.
+    const auto consider = [&](TimePoint from, Duration within, Duration needs) {
+        last = std::max(last, within * 4);
+        considerBy(from + within - needs);
+    };
     bool deadlines = false;
     for (const auto& o : settings_.objectives) {
         if (o.jobClass != job.spec.jobClass) continue;
-        if (o.kind == "wait") consider(o.within, Duration::zero());
-        if (o.kind == "finished") consider(o.within, run);
+        if (o.kind == "wait") consider(job.releasedAt, o.within, Duration::zero());
+        if (o.kind == "finished") consider(job.releasedAt, o.within, run);
         if (o.kind == "deadline" && job.spec.deadlineS) {
             deadlines = true;
-            consider(fromSeconds(*job.spec.deadlineS * o.times), run);
+            consider(job.submittedAt, fromSeconds(*job.spec.deadlineS * o.times), run);
         }
     }
-    if (job.spec.deadlineS && !deadlines) consider(fromSeconds(*job.spec.deadlineS), run);
+    if (job.spec.deadlineS && !deadlines)
+        consider(job.submittedAt, fromSeconds(*job.spec.deadlineS), run);
+    // What jobs after it ask of it: a chain is late as a whole.
+    if (job.ends.first != Ends::never) considerBy(job.ends.first - run);
+    if (job.ends.last != job.ends.first) considerBy(job.ends.last - run);
     // Work that nobody has an objective for does not go before work that can still meet one, or
     // whoever takes its time fills the room of those in a hurry; its turn comes late, but it does.
     if (open.empty() && u.missed == 0) {
@@ -55,7 +62,7 @@
     // A start that meets every objective is worth more than one that meets the rest: in a burst
     // what is late would make all that follows late as well. What has missed them all waits, but
     // not for ever: its turn comes by age.
-    u.by = job.submittedAt + last;
+    u.by = job.releasedAt + last;
     if (u.by <= now) u.missed = 0;
     return u;
 }
@@ -66,7 +73,7 @@
     std::array<double, 4> cores{}, seconds{};
     for (const Job* job : open_) {
         if (job->spec.shape == Shape::service || job->boundCount == 0) continue;
-        const auto rank = static_cast<std::size_t>(job->spec.priority);
+        const auto rank = static_cast<std::size_t>(job->rank);
         const double bound = job->spec.demand.cores * job->boundCount;
         cores[rank] += bound;
         seconds[rank] += bound * std::max(1.0, toSeconds(runTime(job->spec)));
@@ -96,7 +103,7 @@
         std::vector<bool> put(entries.size(), false);
         for (std::size_t i = 0; i < entries.size(); ++i) {
             const Entry& e = entries[i];
-            const double pace = pace_[static_cast<std::size_t>(e.job->spec.priority)];
+            const double pace = pace_[static_cast<std::size_t>(e.job->rank)];
             const double work = e.job->spec.demand.cores * e.job->waitingCount();
             ahead += work;
             if (!e.turn.hopes || e.job->spec.shape == Shape::service || pace <= 0) continue;
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -96,15 +96,14 @@
     double bestCost = std::numeric_limits<double>::infinity();
     const auto usable = [&](MachineIndex i) {
         ++looks_;
-        if (!placeable(job, i, now) || !room_.staysWarm(i, s.demand, s.priority)) return false;
+        if (!placeable(job, i, now) || !room_.staysWarm(i, s.demand, job.rank)) return false;
         Demand free = room_.of(i)->free;
         if (const auto p = planned.find(i); p != planned.end()) free -= p->second.demand;
         // Room that is being made is not for those who had to give way: they once took each piece
         // of it back as it came free, to be stopped again in the next pass.
         const auto [from, to] = promises_.equal_range(i);
         for (auto p = from; p != to; ++p)
-            if (p->second != &job && p->second->spec.priority <= s.priority)
-                free -= p->second->spec.demand;
+            if (p->second != &job && p->second->rank <= job.rank) free -= p->second->spec.demand;
         return fits(s.demand, free);
     };
     for (const auto& [key, pool] : room_.pools()) {
@@ -178,7 +177,7 @@
     measurePace(now);
     std::map<Priority, std::vector<Job*>> ranks;
     for (Job* job : waiting_)
-        if (now >= job->notBefore) ranks[job->spec.priority].push_back(job);
+        if (now >= job->notBefore) ranks[job->rank].push_back(job);
     for (const auto& [rank, waiting] : ranks) {
         std::map<std::string, std::vector<Job*>> teams;  // the next job of each last
         const auto order = inOrder(waiting, now);
@@ -226,7 +225,7 @@
                 continue;
             }
             spdlog::debug("{}/{} goes to {} after {:.2f} s, image in {:.1f} s", job.spec.id, task,
-                          machines_[m].name, toSeconds(now - job.submittedAt),
+                          machines_[m].name, toSeconds(now - job.releasedAt),
                           startDelay(job.spec, machines_[m]));
             bind(job, task, m);
             settle();
--- a/src/scheduler/preemption.cpp
+++ b/src/scheduler/preemption.cpp
@@ -40,13 +40,13 @@
 }
 
 bool Cluster::mayPreempt(Priority rank, const Charge& c) const {
-    return !mustStop(c) && c.cells.empty() && c.job->spec.priority > rank;
+    return !mustStop(c) && c.cells.empty() && c.job->rank > rank;
 }
 
 void Cluster::preemptFor(const Job& job, std::uint32_t tasks, TimePoint now) {
     const JobSpec& s = job.spec;
-    if (s.priority == Priority::low) return;
-    const auto rank = static_cast<std::size_t>(s.priority);
+    if (job.rank == Priority::low) return;
+    const auto rank = static_cast<std::size_t>(job.rank);
     Planned planned;  // room that is being made already
     for (const auto& [machine, for_] : promises_) {
         if (for_ != &job) continue;
@@ -70,7 +70,7 @@
             std::vector<std::pair<double, std::size_t>> candidates;
             for (std::size_t k = 0; k < m.charges.size(); ++k) {
                 const Charge& c = m.charges[k];
-                if (!mayPreempt(s.priority, c)) continue;
+                if (!mayPreempt(job.rank, c)) continue;
                 const JobTask& t = c.job->tasks[c.task];
                 const double ran = t.phase == Phase::running ? toSeconds(now - t.runningSince) : 0;
                 const double lost = c.job->spec.checkpointS > 0 ? c.job->spec.saveS : ran;
@@ -89,7 +89,7 @@
             }
             if (!fits(s.demand, room) || loss >= bestLoss) return;
             // Room that must stay warm for others would not be taken: nobody is stopped for it.
-            if (!room_.staysWarm(i, taken, s.priority)) return;
+            if (!room_.staysWarm(i, taken, job.rank)) return;
             bestLoss = loss;
             best = i;
             victims = std::move(chosen);
--- a/src/scheduler/reports.cpp
+++ b/src/scheduler/reports.cpp
@@ -130,7 +130,8 @@
         fresh.task = t.task;
         fresh.attempt = t.attempt;
         fresh.sent = true;
-        if (task.state == TaskState::waiting && t.attempt >= task.attempt && job->open()) {
+        if (task.state == TaskState::waiting && t.attempt >= task.attempt && job->open() &&
+            !job->held) {
             // It runs although no record says so: it stays where it is, on record.
             task.state = TaskState::bound;
             task.machine = machine;
@@ -224,7 +225,7 @@
             exited(index, t, now);
             const Job* job = find(t.job);
             const bool ours = job != nullptr && t.task < job->spec.tasks;
-            m.exited.emplace(ended, ours ? job->records[job->recordOf(t.task)].version : 0);
+            m.exited.emplace(ended, ours ? job->layout.of(t.task).version : 0);
         } else {
             seen(index, t, now);
         }
@@ -245,8 +246,7 @@
 
 bool Cluster::allBound(const Job& job) const {
     if (job.boundCount + job.doneCount < job.spec.tasks) return false;
-    return std::all_of(job.records.begin(), job.records.end(),
-                       [](const auto& r) { return r.durable >= r.version; });
+    return job.layout.durable();
 }
 
 bool Cluster::mustStop(const Charge& c) const {
@@ -264,8 +264,7 @@
             const auto& [id, task, attempt] = ended;
             const Job* job = find(id);
             // What the exit proves must be on record first: a forgotten result is lost for good.
-            if (job != nullptr && task < job->spec.tasks &&
-                job->records[job->recordOf(task)].durable < version)
+            if (job != nullptr && task < job->spec.tasks && job->layout.of(task).durable < version)
                 continue;
             out.push_back({Verb::forget, id, task, attempt, {}});
         }
@@ -289,7 +288,7 @@
                            save ? fromSeconds(spec.saveS + 0.5) : Duration::zero()});
             c.stopSent = true;
         } else if (!c.seen && !c.recovered) {
-            const auto& record = c.job->records[c.job->recordOf(c.task)];
+            const auto& record = c.job->layout.of(c.task);
             if (record.durable < c.version || !c.job->accepted()) continue;
             if (spec.shape == Shape::gang && !allBound(*c.job)) continue;
             if (direct && (c.sent || c.directPending)) continue;
--- /dev/null
+++ b/src/scheduler/waiting_test.cpp
@@ -0,0 +1,424 @@
+#include <gtest/gtest.h>
+
+#include "scheduler/cluster.h"
+#include "testing/world.h"
+
+// Jobs that wait for others, as the scheduler carries it out.
+
+namespace basaltchute::scheduler {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::Worker;
+using workers::ExitCause;
+using workers::Order;
+using workers::TaskStatus;
+
+class WaitingTest : public ::testing::Test {
+  protected:
+    FakeClock clock;
+    settings::Settings settings = testing::someSettings();
+    std::unique_ptr<Cluster> cluster = make(5);
+    std::map<std::string, std::string> records;
+    Worker w{"n-1"};
+
+    std::unique_ptr<Cluster> make(Token token) {
+        auto c = std::make_unique<Cluster>(settings, token);
+        c->setCatalogue(testing::someCatalogue());
+        c->setParted();
+        return c;
+    }
+    void commit() { testing::commitAll(*cluster, records); }
+    void takeOver() {
+        cluster = make(cluster->token() + 1);
+        for (const auto& [k, data] : records)
+            ASSERT_TRUE(cluster->load(k, data, clock.now(), clock.wall())) << k;
+        cluster->loaded(clock.now());
+    }
+    Job& submit(const JobId& id, std::vector<JobId> needs, std::uint32_t tasks = 1,
+                const std::function<void(JobSpec&)>& change = {}) {
+        JobSpec s = testing::spec(id, tasks);
+        s.demand = {1, 0, 1};
+        s.needs = std::move(needs);
+        if (change) change(s);
+        EXPECT_EQ(cluster->wrongNeed(s).wrong, Cluster::Need::Wrong::nothing);
+        EXPECT_EQ(cluster->submit(s, clock.now(), clock.wall()), Submitted::fresh);
+        commit();
+        return *cluster->find(id);
+    }
+    Job& job(const JobId& id) { return *cluster->find(id); }
+    /// One beat, with time for what follows from it: records stand, work is placed.
+    void round() {
+        w.execute(cluster->beat(w.next(), clock.now()));
+        w.report.token = cluster->token();
+        commit();
+        cluster->expire(clock.now());
+        cluster->place(clock.now());
+        commit();
+        EXPECT_EQ(cluster->check(), "");
+    }
+    void finish(const JobId& id) {
+        for (std::size_t t = 0; t < w.report.tasks.size(); ++t)
+            if (w.report.tasks[t].job == id) w.set(t, TaskStatus::exited, ExitCause::done);
+    }
+    bool onWorker(const JobId& id) {
+        for (const auto& t : w.report.tasks)
+            if (t.job == id && t.status != TaskStatus::exited) return true;
+        return false;
+    }
+};
+
+TEST_F(WaitingTest, NothingStartsBeforeWhatItNeedsIsDoneOnRecord) {
+    submit("run-1", {});
+    Job& second = submit("run-2", {"run-1"});
+    for (int i = 0; i < 3; ++i) round();
+    EXPECT_TRUE(onWorker("run-1"));
+    EXPECT_TRUE(second.held);
+    EXPECT_EQ(second.boundCount, 0U);
+    finish("run-1");
+    cluster->beat(w.next(), clock.now());
+    cluster->expire(clock.now());
+    cluster->place(clock.now());
+    EXPECT_TRUE(job("run-1").allDone());
+    EXPECT_TRUE(second.held) << "its result does not stand yet: a successor would not know of it";
+    commit();
+    cluster->expire(clock.now());
+    EXPECT_FALSE(second.held);
+    round();
+    round();
+    EXPECT_TRUE(onWorker("run-2"));
+}
+
+TEST_F(WaitingTest, AJobThatWaitsCountsNowhere) {
+    settings.teams = {{"red", 0, 3, 0, 0}};
+    settings.objectives = {{"wait", "c", 5s, 0.9}};
+    submit("run-1", {}, 2);
+    Job& second = submit("run-2", {"run-1"}, 3);
+    Job& third = submit("run-3", {}, 1);
+    round();
+    round();
+    EXPECT_EQ(third.boundCount, 1U) << "its team's limit is 3, and 2 are in use";
+    EXPECT_EQ(cluster->openJobs().size(), 2U);
+    clock.advance(300s);
+    w.newSession();
+    for (int i = 0; i < 3; ++i) round();
+    finish("run-1");
+    round();
+    round();
+    ASSERT_FALSE(second.held);
+    // Its waiting counts from now: it can still meet what counts from its release.
+    EXPECT_EQ(cluster->turn(second, clock.now()).missed, 0U);
+    EXPECT_EQ(cluster->turn(second, clock.now()).by, clock.now() + 5s);
+}
+
+TEST_F(WaitingTest, AllAfterACancelledJobAreCancelledWithItAndStaySoAfterATakeOver) {
+    submit("run-1", {});
+    submit("run-2", {"run-1"});
+    submit("run-3", {"run-2", "run-1"});
+    submit("run-4", {"run-3"});
+    submit("run-9", {});
+    round();
+    const auto before = records;
+    cluster->cancel(job("run-1"), clock.now());
+    cluster->expire(clock.now());
+    EXPECT_FALSE(job("run-4").cancelled) << "nobody was told, and no record says so";
+    commit();
+    cluster->expire(clock.now());
+    for (const char* id : {"run-2", "run-3", "run-4"}) {
+        EXPECT_TRUE(job(id).cancelDurable()) << id;
+        EXPECT_EQ(job(id).cancelledWith, "run-1");
+        EXPECT_EQ(records.at("jobs/" + std::string(id)), before.at("jobs/" + std::string(id)))
+            << "it follows, and is not written";
+    }
+    EXPECT_TRUE(job("run-9").open());
+    // Whoever names one of them afterwards is accepted, and cancelled.
+    EXPECT_TRUE(submit("run-5", {"run-4"}).cancelDurable());
+    takeOver();
+    for (const char* id : {"run-1", "run-2", "run-3", "run-4", "run-5"})
+        EXPECT_TRUE(job(id).cancelDurable()) << id;
+    EXPECT_TRUE(job("run-9").open());
+    round();
+}
+
+TEST_F(WaitingTest, DoneBeforeTheWithdrawalLeavesWhatComesAfterAlone) {
+    submit("run-1", {});
+    Job& second = submit("run-2", {"run-1"});
+    for (int i = 0; i < 3; ++i) round();
+    finish("run-1");
+    cluster->beat(w.next(), clock.now());
+    cluster->cancel(job("run-1"), clock.now());
+    commit();
+    cluster->expire(clock.now());
+    EXPECT_TRUE(job("run-1").doneDurable());
+    EXPECT_FALSE(job("run-1").cancelled);
+    EXPECT_FALSE(second.held);
+    EXPECT_TRUE(second.open());
+}
+
+TEST_F(WaitingTest, AWithdrawnJobThatWaitedTakesOnlyThoseAfterItAlong) {
+    submit("run-1", {});
+    submit("run-2", {"run-1"});
+    submit("run-3", {"run-2"});
+    cluster->cancel(job("run-2"), clock.now());
+    commit();
+    round();
+    EXPECT_TRUE(job("run-1").open());
+    EXPECT_TRUE(job("run-2").cancelDurable());
+    EXPECT_TRUE(job("run-3").cancelDurable());
+    takeOver();
+    EXPECT_TRUE(job("run-3").cancelDurable());
+    EXPECT_TRUE(job("run-1").open());
+}
+
+TEST_F(WaitingTest, ASuccessorKnowsWhatWaitsAndWhatWasReleased) {
+    submit("run-1", {});
+    submit("run-2", {"run-1"});
+    submit("run-3", {"run-2"});
+    for (int i = 0; i < 3; ++i) round();
+    takeOver();
+    EXPECT_TRUE(job("run-2").held);
+    EXPECT_TRUE(job("run-3").held);
+    finish("run-1");
+    clock.advance(50s);
+    for (int i = 0; i < 4; ++i) round();
+    ASSERT_TRUE(onWorker("run-2"));
+    const Duration waited = job("run-2").releasedAt - job("run-2").submittedAt;
+    EXPECT_GE(waited, 50s);
+    takeOver();
+    EXPECT_FALSE(job("run-2").held);
+    EXPECT_EQ(job("run-2").releasedAt - job("run-2").submittedAt, waited);
+    EXPECT_TRUE(job("run-3").held);
+    EXPECT_EQ(cluster->check(), "");
+}
+
+TEST_F(WaitingTest, WhatAJobMayNotNeedIsNamedBeforeAnythingIsKept) {
+    using Wrong = Cluster::Need::Wrong;
+    submit("run-1", {});
+    submit("run-2", {}, 1, [](JobSpec& s) { s.shape = Shape::service; });
+    const auto wrong = [&](std::vector<JobId> needs) {
+        JobSpec s = testing::spec("run-9");
+        s.needs = std::move(needs);
+        return cluster->wrongNeed(s);
+    };
+    EXPECT_EQ(wrong({"run-1"}).wrong, Wrong::nothing);
+    EXPECT_EQ(wrong({"run-1", "run-9"}).wrong, Wrong::itself);
+    EXPECT_EQ(wrong({"run-1", "run-7"}).wrong, Wrong::unknown);
+    EXPECT_EQ(wrong({"run-1", "run-7"}).id, "run-7");
+    EXPECT_EQ(wrong({"run-2"}).wrong, Wrong::service);
+    cluster->submit(testing::spec("run-3"), clock.now(), clock.wall());
+    EXPECT_EQ(wrong({"run-3"}).wrong, Wrong::unsure) << "its acceptance is under way";
+    EXPECT_EQ(wrong({"run-3", "run-7"}).wrong, Wrong::unknown) << "certain, whatever becomes of it";
+    commit();
+    EXPECT_EQ(wrong({"run-3"}).wrong, Wrong::nothing);
+}
+
+TEST_F(WaitingTest, TheLastJobsPriorityAndDeadlineCountForAllBeforeIt) {
+    settings.objectives = {{"deadline", "post", {}, 0.9, 1}, {"deadline", "post", {}, 0.9, 1.5}};
+    const auto low = [](JobSpec& s) { s.priority = Priority::low; };
+    submit("run-1", {}, 8, low);
+    submit("run-2", {}, 8, low);  // not in the chain, and first in line otherwise
+    submit("run-3", {"run-1"}, 1, low);
+    EXPECT_EQ(job("run-1").rank, Priority::low);
+    submit("run-4", {"run-3"}, 1, [](JobSpec& s) {
+        s.jobClass = "post";
+        s.priority = Priority::high;
+        s.deadlineS = 100;
+    });
+    EXPECT_EQ(job("run-1").rank, Priority::high);
+    EXPECT_EQ(job("run-3").rank, Priority::high);
+    // 100 s less what the two after it take, and its own run.
+    const Duration after = cluster->takes(job("run-3").spec) + cluster->takes(job("run-4").spec);
+    EXPECT_EQ(cluster->turn(job("run-1"), clock.now()).by, clock.now() + 100s - after - 10s);
+    round();
+    EXPECT_EQ(job("run-1").boundCount, 8U);
+    EXPECT_EQ(job("run-2").boundCount, 0U);
+    // Past its first deadline it goes by the next one.
+    EXPECT_EQ(cluster->turn(job("run-1"), clock.now() + 95s).missed, 1U);
+    EXPECT_TRUE(cluster->turn(job("run-1"), clock.now() + 95s).hopes);
+    cluster->cancel(job("run-4"), clock.now());
+    commit();
+    round();
+    EXPECT_EQ(job("run-1").rank, Priority::low) << "nobody asks for more any longer";
+    EXPECT_EQ(job("run-1").ends, Ends{});
+}
+
+TEST_F(WaitingTest, AChainsFirstJobMakesRoomAndIsNotPreemptedByWhatItsLastJobOutranks) {
+    const auto rank = [](Priority p) {
+        return [p](JobSpec& s) {
+            s.priority = p;
+            s.demand = {8, 0, 4};
+        };
+    };
+    submit("run-1", {}, 1, rank(Priority::normal));
+    for (int i = 0; i < 3; ++i) round();
+    ASSERT_TRUE(onWorker("run-1"));
+    submit("run-2", {}, 1, rank(Priority::low));
+    submit("run-3", {"run-2"}, 1, rank(Priority::high));
+    round();
+    EXPECT_TRUE(job("run-1").tasks[0].stopping) << "run-2 counts as high for run-3's sake";
+    for (int i = 0; i < 4; ++i) round();
+    EXPECT_TRUE(onWorker("run-2"));
+    submit("run-4", {}, 1, rank(Priority::normal));
+    for (int i = 0; i < 3; ++i) round();
+    EXPECT_TRUE(onWorker("run-2"));
+}
+
+/// Every order of steps of a small graph, with a take-over possible after each: nothing runs after
+/// an undone or cancelled need, nothing waits for ever, and all that is told stays true.
+class ChainSearch {
+  public:
+    enum class Step { beat, write, withdrawFirst, withdrawSecond, takeOver, expire, finish };
+    static constexpr int steps = 7;
+    explicit ChainSearch(const std::vector<std::vector<JobId>>& needs) : needs_(needs) {
+        settings_.objectives = {};
+    }
+    /// What went wrong, or nothing.
+    std::string play(const std::vector<Step>& story) {
+        records_.clear();
+        told_.clear();
+        w_ = Worker("n-1");
+        ran_.clear();
+        done_.clear();
+        token_ = 1;
+        renew();
+        for (std::size_t i = 0; i < needs_.size(); ++i) {
+            JobSpec s = testing::spec(name(i));
+            s.demand = {1, 0, 1};
+            s.needs = needs_[i];
+            cluster_->submit(s, clock_.now(), clock_.wall());
+            write();
+        }
+        for (const Step s : story) {
+            apply(s);
+            if (auto bad = wrong(); !bad.empty()) return bad;
+        }
+        const auto over = [&] {
+            for (std::size_t i = 0; i < needs_.size(); ++i)
+                if (const std::string is = status(name(i)); is != "done" && is != "cancelled")
+                    return false;
+            return true;
+        };
+        for (int i = 0; i < 40 && !over(); ++i) {
+            for (const Step s : {Step::beat, Step::write, Step::expire, Step::beat, Step::finish})
+                apply(s);
+            if (auto bad = wrong(); !bad.empty()) return bad;
+        }
+        return over() ? "" : "something waits for ever";
+    }
+
+  private:
+    static JobId name(std::size_t i) { return "run-" + std::to_string(i); }
+    void renew() {
+        cluster_ = std::make_unique<Cluster>(settings_, token_);
+        cluster_->setCatalogue(testing::someCatalogue());
+        cluster_->setParted();
+        for (const auto& [k, data] : records_) cluster_->load(k, data, clock_.now(), clock_.wall());
+        cluster_->loaded(clock_.now());
+    }
+    void write() { testing::commitAll(*cluster_, records_); }
+    void apply(Step s) {
+        clock_.advance(100ms);
+        switch (s) {
+            case Step::beat: {
+                const auto orders = cluster_->beat(w_.next(), clock_.now());
+                w_.report.token = token_;
+                for (const auto& o : orders)
+                    if (o.verb == workers::Verb::launch) ran_.insert(o.job);
+                w_.execute(orders);
+                break;
+            }
+            case Step::write:
+                write();
+                break;
+            case Step::withdrawFirst:
+                withdrawn_ = name(0);
+                cluster_->cancel(*cluster_->find(withdrawn_), clock_.now());
+                break;
+            case Step::withdrawSecond:
+                cluster_->cancel(*cluster_->find(name(1)), clock_.now());
+                break;
+            case Step::takeOver:
+                ++token_;
+                renew();
+                break;
+            case Step::expire:
+                cluster_->expire(clock_.now());
+                cluster_->place(clock_.now());
+                break;
+            case Step::finish:
+                for (std::size_t t = 0; t < w_.report.tasks.size(); ++t)
+                    if (w_.report.tasks[t].status == TaskStatus::running) {
+                        w_.set(t, TaskStatus::exited, ExitCause::done);
+                        done_.insert(w_.report.tasks[t].job);
+                    }
+                break;
+        }
+    }
+    std::string status(const JobId& id) {
+        const Job& j = *cluster_->find(id);
+        if (j.cancelDurable()) return "cancelled";
+        return !j.cancelled && j.doneDurable() ? "done" : "pending";
+    }
+    std::string wrong() {
+        if (auto bad = cluster_->check(); !bad.empty()) return bad;
+        for (std::size_t i = 0; i < needs_.size(); ++i) {
+            const JobId id = name(i);
+            const std::string is = status(id);
+            std::string& was = told_[id];
+            if ((was == "done" || was == "cancelled") && is != was)
+                return id + " was told to be " + was + " and is " + is;
+            was = is;
+            for (const auto& need : needs_[i]) {
+                if (ran_.contains(id) && !done_.contains(need)) return id + " is too early";
+                if (ran_.contains(id) && status(need) == "cancelled")
+                    return id + " ran after a cancelled job";
+            }
+        }
+        return "";
+    }
+
+    const std::vector<std::vector<JobId>>& needs_;
+    FakeClock clock_;
+    settings::Settings settings_ = testing::someSettings();
+    std::unique_ptr<Cluster> cluster_;
+    std::map<std::string, std::string> records_, told_;
+    std::set<JobId> ran_, done_;
+    JobId withdrawn_;
+    Worker w_{"n-1"};
+    Token token_ = 1;
+};
+
+TEST(ChainSearch, NoOrderOfStepsStartsAJobTooEarlyOrLeavesOneWaiting) {
+    const std::vector<std::vector<std::vector<JobId>>> graphs{
+        {{}, {"run-0"}, {"run-1"}},                      // a chain
+        {{}, {"run-0"}, {"run-0"}, {"run-1", "run-2"}},  // a diamond
+        {{}, {}, {"run-0", "run-1"}},                    // two before one
+    };
+    std::size_t played = 0;
+    for (const auto& graph : graphs) {
+        ChainSearch search(graph);
+        constexpr std::size_t length = 4;
+        std::size_t all = 1;
+        for (std::size_t i = 0; i < length; ++i) all *= ChainSearch::steps;
+        for (std::size_t n = 0; n < all; ++n) {
+            std::vector<ChainSearch::Step> story;
+            // From where the first job runs, from the start, and from where its result is known.
+            for (std::size_t at = n, i = 0; i < length; ++i, at /= ChainSearch::steps)
+                story.push_back(static_cast<ChainSearch::Step>(at % ChainSearch::steps));
+            using S = ChainSearch::Step;
+            for (const std::vector<S>& before :
+                 {std::vector<S>{}, std::vector<S>{S::beat, S::expire, S::write, S::beat, S::beat},
+                  std::vector<S>{S::beat, S::expire, S::write, S::beat, S::beat, S::finish,
+                                 S::beat}}) {
+                auto whole = before;
+                whole.insert(whole.end(), story.begin(), story.end());
+                ++played;
+                ASSERT_EQ(search.play(whole), "") << "story " << n << " after " << before.size();
+            }
+        }
+    }
+    EXPECT_EQ(played, 3U * 3U * 2401U);
+}
+
+}  // namespace
+}  // namespace basaltchute::scheduler
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,5 +1,6 @@
 #include "settings/settings.h"
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
@@ -34,8 +35,11 @@
     }
     double positive(const char* name) { return number(name, 0); }
     double amount(const char* name) { return number(name, -1e-9); }
+    [[nodiscard]] bool has(const char* name) const {
+        return v_ != nullptr && json::find(*v_, name) != nullptr;
+    }
     double amountOr(const char* name, double fallback) {
-        return v_ != nullptr && json::find(*v_, name) != nullptr ? amount(name) : fallback;
+        return has(name) ? amount(name) : fallback;
     }
     Reader object(const char* name) {
         const json::Value* o = v_ != nullptr ? json::find(*v_, name) : nullptr;
@@ -63,6 +67,30 @@
     Error& error_;
 };
 
+constexpr std::size_t leastValue = 1024, leastOps = 2;
+
+/// One of the limits, as it is now or `next`.
+std::size_t limit(Reader& r, const char* name, double unit, std::size_t least,
+                  const char* expected) {
+    const double n = r.positive(name) * unit;
+    if (n > 0 && n < static_cast<double>(least)) r.fail(name, expected);
+    return static_cast<std::size_t>(n);
+}
+
+void readLimits(Reader& state, Settings& s) {
+    const auto value = [](Reader& r) {
+        return limit(r, "value_kb", 1024, leastValue, "at least 1");
+    };
+    const auto ops = [](Reader& r) { return limit(r, "txn_ops", 1, leastOps, "at least 2"); };
+    s.valueBytes = s.valueBytesNow = value(state);
+    s.txnOps = ops(state);
+    if (!state.has("next")) return;
+    Reader next = state.object("next");
+    if (next.has("value_kb")) s.valueBytes = std::min(s.valueBytes, value(next));
+    if (next.has("txn_ops")) s.txnOps = std::min(s.txnOps, ops(next));
+    if (next.has("write_rps")) s.stateWriteRpsNext = next.positive("write_rps");
+}
+
 }  // namespace
 
 std::variant<Settings, Error> parse(const std::string& text) {
@@ -103,9 +131,7 @@
     Reader state = params.object("state");
     s.stateRps = state.positive("rps");
     s.stateWriteRps = state.positive("write_rps");
-    s.valueBytes = static_cast<std::size_t>(state.positive("value_kb") * 1024);
-    s.txnOps = static_cast<std::size_t>(state.positive("txn_ops"));
-    if (s.txnOps < 2) state.fail("txn_ops", "at least 2");
+    readLimits(state, s);
     Reader cloud = params.object("cloud");
     s.cloudRps = cloud.positive("rps");
     s.listLag = fromSeconds(cloud.amount("list_lag_s"));
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -31,7 +31,11 @@
     std::vector<Objective> objectives;
     Duration reportEvery{}, lease{}, cancelWithin{};
     double stateRps = 0, stateWriteRps = 0;
+    /// The smaller of the limits that the state service has now and those that it will have from
+    /// some moment on: what is written first must take a change after it.
     std::size_t valueBytes = 0, txnOps = 0;
+    std::size_t valueBytesNow = 0;
+    double stateWriteRpsNext = 0;  // 0: as now
     double cloudRps = 0;
     Duration listLag{};
     std::size_t sockets = 0;
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -15,6 +15,10 @@
 constexpr Duration patience = 1500ms;
 constexpr Duration relayPatience = 700ms;
 constexpr Duration probeEvery = 2s;  // of the own way while requests go over a peer
+constexpr double usedShare = 0.95;   // of the rate of changes
+constexpr double slower = 0.9, faster = 1.05, slowest = 0.2;
+constexpr Duration oneRefusal = 1s;  // those of one burst count once
+constexpr Duration tryAfter = 60s, tryAgain = 10s;
 
 Verdict verdictOf(const http::Outcome& o) {
     if (!o.answered) return o.sent ? Verdict::unknown : Verdict::refused;
@@ -27,9 +31,11 @@
             return Verdict::conflict;
         case 400:
             spdlog::warn("state service calls a request malformed: {}", o.response.body);
-            return Verdict::refused;
+            return Verdict::malformed;
+        case 429:
+            return Verdict::limited;
         default:
-            return Verdict::refused;  // 429, 503: not executed
+            return Verdict::refused;  // 503: not executed
     }
 }
 
@@ -48,7 +54,25 @@
       http_(loop, s.state, 6),
       // The limit is the whole service's: one leader and its followers must fit in together.
       requests_(s.stateRps * 0.7, s.stateRps * 0.5, loop.now()),
-      writes_(s.stateWriteRps * 0.95, s.stateWriteRps * 0.9, loop.now()) {}
+      writes_(s.stateWriteRps * usedShare, s.stateWriteRps * 0.9, loop.now()),
+      mostWrites_(s.stateWriteRps * usedShare),
+      nextWrites_(s.stateWriteRpsNext * usedShare) {}
+
+void Client::adapt(Verdict verdict) {
+    const TimePoint now = loop_.now();
+    const double rate = writes_.rate();
+    if (verdict == Verdict::limited && now - limitedAt_ >= oneRefusal) {
+        limitedAt_ = now;
+        const bool fell = nextWrites_ > 0 && nextWrites_ < rate;
+        writes_.setRate(fell ? nextWrites_ : std::max(rate * slower, mostWrites_ * slowest), now);
+        spdlog::info("state service refuses for its rate: {:.1f} changes a second from now on",
+                     writes_.rate());
+    } else if (verdict == Verdict::ok && rate < mostWrites_ && now - limitedAt_ >= tryAfter) {
+        // It may have been a burst of somebody else's.
+        limitedAt_ = now - tryAfter + tryAgain;
+        writes_.setRate(std::min(rate * faster, mostWrites_), now);
+    }
+}
 
 Task<http::Outcome> Client::send(http::Request request, Duration wait, Scope& scope) {
     // A refusal that only this node gets, or a cut that only it suffers, looks like an outage:
@@ -109,6 +133,7 @@
     auto o = co_await send(std::move(request), patience, scope);
     Committed result;
     result.verdict = verdictOf(o);
+    adapt(result.verdict);
     if (!o.answered || (o.response.status != 200 && o.response.status != 409)) co_return result;
     const auto doc = json::parse(o.response.body);
     const auto epoch = doc ? json::count(*doc, "epoch") : std::nullopt;
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -14,8 +14,10 @@
 using Revision = std::uint64_t;
 using GrantId = std::uint64_t;
 
-/// How a request ended. `refused`: surely not executed. `unknown`: may have been, or may be yet.
-enum class Verdict { ok, notFound, conflict, refused, unknown };
+/// How a request ended. `refused`: surely not executed. `limited`: neither, for its rate alone.
+/// `malformed`: neither, and it never will be as it is: too large, perhaps. `unknown`: may have
+/// been executed, or may be yet.
+enum class Verdict { ok, notFound, conflict, refused, limited, malformed, unknown };
 
 struct Guard {
     std::string key;
@@ -80,9 +82,13 @@
   private:
     Task<http::Outcome> send(http::Request request, Duration patience, Scope& scope);
     Task<void> probe(Scope& scope);
+    /// Follows the rate that the service takes, which may fall at any time.
+    void adapt(Verdict verdict);
     Loop& loop_;
     http::Client http_;
     Budget requests_, writes_;
+    double mostWrites_, nextWrites_;  // a second: by the settings, now and some day
+    TimePoint limitedAt_{};
     Relay relay_;
     /// Requests go over a peer. What finds out whether the own way works again is a question that
     /// nothing depends on: tried with writes, each third one of a leader that was cut off from the
--- a/src/state/writer.cpp
+++ b/src/state/writer.cpp
@@ -11,8 +11,8 @@
 namespace {
 constexpr std::size_t maxTransactions = 3;
 constexpr std::size_t maxBatchBytes = 48 * 1024;
-constexpr double keptShare = 0.3;     // of a burst of writes, for what is urgent
-constexpr Duration coalesce = 250ms;  // how long the least urgent wait for company
+constexpr double keptShare = 0.3;  // of a burst of writes, for what is urgent
+constexpr Duration coalesce = 250ms, coalesceProgress = 1500ms;  // wait for company
 constexpr Duration pauseAfterRefusal = 150ms;
 }  // namespace
 
@@ -43,22 +43,34 @@
 std::vector<std::string> Writer::nextBatch(TimePoint now) {
     std::vector<std::string> keys;
     if (byRank_.empty()) return keys;
-    const bool due = byRank_.begin()->first.first != Urgency::rest ||
-                     now - byRank_.begin()->first.second >= coalesce;
-    if (!due) return keys;
+    const auto due = [&](const Rank& rank) {
+        const Duration wait = rank.first == Urgency::progress ? coalesceProgress
+                              : rank.first == Urgency::rest   ? coalesce
+                                                              : Duration::zero();
+        return now - rank.second >= wait;
+    };
+    const auto [first, since] = byRank_.begin()->first;
+    if (!due({first, since})) return keys;
     double available = client_.writes().available(now);
+    // What users wait for never finds the budget spent on what nobody waits for.
+    const auto keptFor = [&](Urgency urgency) {
+        return urgency >= Urgency::rest ? client_.writes().burst() * keptShare : 0;
+    };
     if (hooks_.turn) {
-        const Urgency first = byRank_.begin()->first.first;
-        const double kept = first == Urgency::rest ? client_.writes().burst() * keptShare : 0;
+        const double kept = keptFor(first);
         // What is not urgent queues up only when it can be paid for: it must not hold up others.
-        if (first == Urgency::rest && available - kept < 1) return keys;
+        if (first >= Urgency::rest && available - kept < 1) return keys;
         available = kept + hooks_.turn(first, available - kept);
     }
     for (const auto& [rank, key] : byRank_) {
-        // What users wait for never finds the budget spent on what nobody waits for.
-        const double kept = rank.first == Urgency::rest ? client_.writes().burst() * keptShare : 0;
-        if (keys.size() >= txnOps_ || static_cast<double>(keys.size()) + 1 > available - kept)
+        if (rank.first == Urgency::progress && !due(rank)) break;
+        if (keys.size() >= txnOps_ ||
+            static_cast<double>(keys.size()) + 1 > available - keptFor(rank.first))
             break;
+        if (alone_.contains(key)) {
+            if (keys.empty()) keys.push_back(key);
+            break;
+        }
         keys.push_back(key);
     }
     return keys;
@@ -87,18 +99,27 @@
     std::vector<std::pair<std::string, Rank>> taken;
     std::size_t bytes = 0;
     for (const auto& key : keys) {
-        Encoded e = hooks_.encode(key);
-        if (bytes > 0 && bytes + e.data.size() > maxBatchBytes) break;
-        bytes += e.data.size();
-        txn.guards.push_back({key, revisions_[key]});
-        txn.puts.push_back({key, std::move(e.data), std::nullopt});
-        versions.emplace_back(key, e.version);
+        auto e = hooks_.encode(key);
+        if (e && bytes > 0 && bytes + e->data.size() > maxBatchBytes) break;
         const auto waiting = queue_.find(key);
         byRank_.erase({waiting->second, key});
+        if (!e) {
+            queue_.erase(waiting);
+            alone_.erase(key);
+            continue;
+        }
+        bytes += e->data.size();
+        txn.guards.push_back({key, revisions_[key]});
+        txn.puts.push_back({key, std::move(e->data), std::nullopt});
+        versions.emplace_back(key, e->version);
         taken.emplace_back(*waiting);
         queue_.erase(waiting);
         inFlight_.insert(key);
     }
+    if (versions.empty()) {
+        --transactions_;
+        co_return;
+    }
     client_.writes().take(loop_.now(), static_cast<double>(versions.size()));
     Committed result = co_await client_.commit(std::move(txn), scope);
     --transactions_;
@@ -114,8 +135,11 @@
         healthy_ = true;
         for (const auto& [key, version] : versions) {
             revisions_[key] = result.revision;
+            alone_.erase(key);
             hooks_.committed(key, version);
         }
+    } else if (result.verdict == Verdict::malformed && (taken.size() > 1 || hooks_.tooLarge)) {
+        malformed(taken, bytes);
     } else {
         for (const auto& [key, rank] : taken) enqueue(key, rank);
         if (result.verdict == Verdict::conflict) {
@@ -130,6 +154,9 @@
                 if (found.verdict == Verdict::ok) revisions_[key] = found.item->revision;
                 if (found.verdict == Verdict::notFound) revisions_[key] = 0;
             }
+        } else if (result.verdict == Verdict::limited) {
+            // It serves, if not that fast: what is most urgent goes first, and nobody is refused.
+            pauseUntil_ = loop_.now() + pauseAfterRefusal;
         } else {
             if (healthy_)
                 spdlog::warn("state service does not take writes; holding {}", queue_.size());
@@ -141,4 +168,19 @@
     wake_.notify();
 }
 
+void Writer::malformed(const std::vector<std::pair<std::string, Rank>>& taken, std::size_t bytes) {
+    // Too many or too much at once, or one of them: repeated as it is it would hold up the others
+    // for ever.
+    if (taken.size() == 1) {
+        alone_.erase(taken[0].first);
+        hooks_.tooLarge(taken[0].first, bytes);
+        return;
+    }
+    txnOps_ = std::max<std::size_t>(1, std::min(txnOps_, taken.size() / 2));
+    for (const auto& [key, rank] : taken) {
+        alone_.insert(key);
+        enqueue(key, rank);
+    }
+}
+
 }  // namespace basaltchute::state
--- a/src/state/writer.h
+++ b/src/state/writer.h
@@ -9,8 +9,9 @@
 
 namespace basaltchute::state {
 
-/// Smaller goes first.
-enum class Urgency { users, bindings, rest };
+/// Smaller goes first; from `rest` on in groups, for which it waits a little, and for `progress`
+/// longer: that is what a successor learns from workers as well.
+enum class Urgency { users, bindings, rest, progress };
 
 struct Encoded {
     std::string data;
@@ -24,13 +25,16 @@
 class Writer {
   public:
     struct Hooks {
-        std::function<Encoded(const std::string& key)> encode;
+        /// Nothing if what the key held is written under others by now.
+        std::function<std::optional<Encoded>(const std::string& key)> encode;
         std::function<void(const std::string& key, std::uint64_t version)> committed;
         std::function<void()> troubled;  // a write was refused or lost its answer
         std::function<void()> fenced;    // another leader holds the key
         /// Where several writers share one budget: how much of it this one may spend now. Asked
         /// with its most urgent work and what the budget has for that; may be left out.
         std::function<double(Urgency, double available)> turn = {};
+        /// The service takes no value of that size under the key: it is not tried again as it is.
+        std::function<void(const std::string& key, std::size_t bytes)> tooLarge = {};
     };
     Writer(Loop& loop, Client& client, std::size_t txnOps, Guard leader, Hooks hooks);
 
@@ -48,6 +52,7 @@
     void enqueue(const std::string& key, Rank rank);
     std::vector<std::string> nextBatch(TimePoint now);
     Task<void> write(std::vector<std::string> keys, Scope& scope);
+    void malformed(const std::vector<std::pair<std::string, Rank>>& taken, std::size_t bytes);
 
     Loop& loop_;
     Client& client_;
@@ -59,6 +64,7 @@
     std::unordered_map<std::string, Rank> queue_;
     std::set<std::pair<Rank, std::string>> byRank_;  // of those in the queue, what is not in flight
     std::set<std::string> inFlight_;
+    std::set<std::string> alone_;  // refused in company: each is tried by itself
     std::size_t transactions_ = 0;
     TimePoint pauseUntil_{};
     bool healthy_ = true;
--- a/src/testing/world_test.cpp
+++ b/src/testing/world_test.cpp
@@ -50,8 +50,9 @@
     for (auto e = cluster.take(); !e.dirty.empty(); e = cluster.take())
         for (const auto& d : e.dirty) {
             const auto encoded = cluster.encode(d.first);
-            records[d.first] = encoded.data;
-            cluster.committed(d.first, encoded.version);
+            if (!encoded) continue;
+            records[d.first] = encoded->data;
+            cluster.committed(d.first, encoded->version);
         }
 }
 
@@ -91,7 +92,7 @@
     s.cancelWithin = 41s;
     s.stateRps = 200;
     s.stateWriteRps = 100;
-    s.valueBytes = 16 * 1024;
+    s.valueBytes = s.valueBytesNow = 16 * 1024;
     s.txnOps = 20;
     s.cloudRps = 10;
     s.listLag = 8s;
