Room for the next stage by forecast; what is learnt goes on record by type

But what waits for others is known ahead. Its cores are asked for once machines would come just in time for its expected release, and a class is warm only as far as its objective and the time it is foreseen do not cover what machines take.

The record of boots for all types took 2.6 KiB, more than a value will be: one a type now, the rarest bins left out if it must be. Records of the former kind are read.

--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -284,22 +284,30 @@
 }
 
 Task<void> Reign::recallExperience() {
-    const auto found = co_await state_.get(experienceKey, scope_);
-    if (!found.item) co_return;
-    if (!fleet_.experience().decode(found.item->data))
-        spdlog::error("record {} is malformed and was skipped", experienceKey);
+    // A record for each type; one for all of them is what versions before wrote.
+    const auto found = co_await state_.list(experienceKey, scope_);
+    for (const auto& item : found.items)
+        if (!fleet_.experience().decode(item.data))
+            spdlog::error("record {} is malformed and was skipped", item.key);
 }
 
 Task<void> Reign::keepExperience() {
     while (!scope_.cancelled()) {
         const Wake woke = co_await loop_.sleep(experienceEvery, scope_);
         if (woke == Wake::cancelled) co_return;
-        if (!fleet_.experience().changed() || !leadership_.mayAct()) continue;
+        const auto& changed = fleet_.experience().changed();
+        if (changed.empty() || !leadership_.mayAct()) continue;
         // Not worth a retry: the next one holds more. A late one of a former leader is refused.
         state::Transaction txn;
         txn.guards = {guard_};
-        txn.puts = {{experienceKey, fleet_.experience().encode(), std::nullopt}};
-        co_await state_.commit(std::move(txn), scope_);
+        while (!changed.empty() && txn.puts.size() < settings_.txnOps) {
+            const std::string type = *changed.begin();
+            std::string key = experienceKey + '/' + type;
+            std::string text = fleet_.experience().encode(type, settings_.valueBytes);
+            if (state::validKey(key))
+                txn.puts.push_back({std::move(key), std::move(text), std::nullopt});
+        }
+        if (!txn.puts.empty()) co_await state_.commit(std::move(txn), scope_);
     }
 }
 
--- a/src/experience/experience.cpp
+++ b/src/experience/experience.cpp
@@ -17,7 +17,7 @@
 void Experience::came(const std::string& type, Duration took, Duration stated) {
     if (stated <= Duration::zero()) return;
     at(boots_, type).add(toSeconds(took) / toSeconds(stated));
-    changed_ = true;
+    changed_.insert(type);
 }
 
 Duration Experience::coming(const std::string& type, Duration stated, double q) const {
@@ -26,17 +26,19 @@
     return fromSeconds(toSeconds(stated) * factor);
 }
 
-std::string Experience::encode() {
-    json::Out out;
-    out.open().field("format", 1);
-    out.key("boots").open();
-    for (const auto& [type, spread] : boots_) {
-        out.key(type);
-        spread.encode(out);
-    }
-    out.close().close();
-    changed_ = false;
-    return out.text();
+std::string Experience::encode(const std::string& type, std::size_t bytes) {
+    const auto with = [&](std::size_t bins) {
+        json::Out out;
+        out.open().field("format", 1).key("boots").open().key(type);
+        at(boots_, type).encode(out, bins);
+        out.close().close();
+        return out.text();
+    };
+    std::size_t bins = Spread::bins;
+    std::string text = with(bins);
+    while (text.size() > bytes && bins > 0) text = with(bins /= 2);
+    changed_.erase(type);
+    return text;
 }
 
 bool Experience::decode(const std::string& text) {
@@ -47,7 +49,7 @@
     std::map<std::string, Spread> read;
     for (const auto& m : boots->GetObject())
         if (!at(read, m.name.GetString()).decode(m.value)) return false;
-    boots_ = std::move(read);
+    for (auto& [type, spread] : read) boots_.insert_or_assign(type, std::move(spread));
     return true;
 }
 
--- a/src/experience/experience.h
+++ b/src/experience/experience.h
@@ -1,5 +1,6 @@
 #pragma once
 #include <map>
+#include <set>
 #include <string>
 
 #include "experience/spread.h"
@@ -15,15 +16,17 @@
     /// By when a share `q` of the machines of a type is there, measured from the request.
     [[nodiscard]] Duration coming(const std::string& type, Duration stated, double q) const;
 
-    /// Changes since it was last encoded are worth a record.
-    [[nodiscard]] bool changed() const { return changed_; }
-    std::string encode();
-    /// False if the text is not a record of it; then nothing has changed.
+    /// Types of which something was learnt since their record was last encoded.
+    [[nodiscard]] const std::set<std::string>& changed() const { return changed_; }
+    /// What is known of one type, in so many bytes at most: what was rarely seen is left out first.
+    std::string encode(const std::string& type, std::size_t bytes);
+    /// Takes over what a record says of the types that it names. False if the text is no record;
+    /// then nothing has changed.
     bool decode(const std::string& text);
 
   private:
     std::map<std::string, Spread> boots_;
-    bool changed_ = false;
+    std::set<std::string> changed_;
 };
 
 }  // namespace basaltchute::experience
--- a/src/experience/experience_test.cpp
+++ b/src/experience/experience_test.cpp
@@ -49,12 +49,15 @@
 TEST(Experience, GoesFromOneLeaderToTheNext) {
     Experience first;
     for (int i = 0; i < 100; ++i) first.came("box", 60s, 20s);
-    EXPECT_TRUE(first.changed());
-    const std::string record = first.encode();
-    EXPECT_FALSE(first.changed());
+    first.came("slow", 200s, 20s);
+    EXPECT_EQ(first.changed().size(), 2U);
+    const std::string record = first.encode("box", 2000);
+    EXPECT_EQ(first.changed(), std::set<std::string>{"slow"});
     EXPECT_LT(record.size(), 2000U);
     Experience next;
+    ASSERT_TRUE(next.decode(first.encode("slow", 2000)));
     ASSERT_TRUE(next.decode(record));
+    EXPECT_GT(next.coming("slow", 20s, 0.99), 60s) << "of each type a record of its own";
     EXPECT_NEAR(toSeconds(next.coming("box", 20s, 0.9)), toSeconds(first.coming("box", 20s, 0.9)),
                 1.0);
     EXPECT_LT(next.coming("other", 20s, 0.9), 40s) << "nothing was seen of that type";
@@ -65,5 +68,21 @@
     EXPECT_GT(next.coming("box", 20s, 0.5), 50s) << "nothing changes by a record it cannot read";
 }
 
+TEST(Experience, ARecordFitsIntoWhatAValueMayBe) {
+    // The boards' three types took 2.6 KiB in one record, and the state service went down to 2.
+    Experience e;
+    std::mt19937 random(3);
+    std::lognormal_distribution<double> ratios(0, 0.9);
+    for (int i = 0; i < 2000; ++i) e.came("box", fromSeconds(20 * ratios(random)), 20s);
+    for (const std::size_t bytes : {4096U, 512U, 200U}) {
+        const std::string record = e.encode("box", bytes);
+        EXPECT_LE(record.size(), bytes);
+        Experience next;
+        ASSERT_TRUE(next.decode(record));
+        EXPECT_NEAR(toSeconds(next.coming("box", 20s, 0.5)), toSeconds(e.coming("box", 20s, 0.5)),
+                    4.0);
+    }
+}
+
 }  // namespace
 }  // namespace basaltchute::experience
--- a/src/experience/spread.cpp
+++ b/src/experience/spread.cpp
@@ -2,13 +2,13 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 
 namespace basaltchute::experience {
 
 namespace bh = boost::histogram;
 
 namespace {
-constexpr unsigned bins = 96;
 constexpr double least = 0.05, most = 20;
 // What came long ago says little about today's machines and owners; the sum of weights stays below
 // 1 / (1 - fade), so that a day of another kind is learnt after some hundred observations.
@@ -49,9 +49,14 @@
     return axis.value(static_cast<double>(bins));
 }
 
-void Spread::encode(json::Out& out) const {
+void Spread::encode(json::Out& out, std::size_t most) const {
+    std::vector<double> weights;
+    for (int i = 0; i < static_cast<int>(bins); ++i) weights.push_back(observed_.at(i));
+    std::sort(weights.begin(), weights.end(), std::greater<>());
+    const double least = most == 0 ? HUGE_VAL : weights.at(std::min<std::size_t>(most, bins) - 1);
     out.openArray();
     for (int i = 0; i < static_cast<int>(bins); ++i) {
+        if (observed_.at(i) < least) continue;
         // Two places: the record is written every minute, and small.
         const auto hundredths = static_cast<std::uint64_t>(std::llround(observed_.at(i) * 100));
         if (hundredths > 0) out.value(static_cast<std::uint64_t>(i)).value(hundredths);
--- a/src/experience/spread.h
+++ b/src/experience/spread.h
@@ -21,7 +21,9 @@
     /// Observations so far, faded.
     [[nodiscard]] double weight() const { return seen_; }
 
-    void encode(json::Out& out) const;
+    static constexpr std::size_t bins = 96;
+    /// Those bins that hold most, so many at most.
+    void encode(json::Out& out, std::size_t most = bins) const;
     /// False if it is not what encode() wrote; then nothing has changed.
     bool decode(const json::Value& value);
 
--- a/src/fleet/demand.cpp
+++ b/src/fleet/demand.cpp
@@ -15,6 +15,7 @@
 constexpr double runMargin = 2.0;          // owners' estimates of run times are rough
 constexpr Duration lendingDelay = 60s;     // of borrowers' time: machines boot, and orders travel
 constexpr Duration foundNoRoom = 10s;
+constexpr double usualBoots = 0.9;  // the share of machines that are reckoned with
 constexpr Duration noticeAndOrder =
     4s;                                 // plans are made each second; the cloud answers, then beats
 constexpr Duration patientSpan = 600s;  // for borrowing work that no objective hurries any more
@@ -38,7 +39,8 @@
     // peak rented for a wait of 250 s: a price of 2.9 where 1.6 does.
     const auto& all = cluster_.settings().objectives;
     return std::any_of(all.begin(), all.end(), [&](const auto& o) {
-        return o.jobClass == jobClass && o.kind == "wait" && o.within < comesWithin(c, o.share);
+        return o.jobClass == jobClass && o.kind == "wait" &&
+               o.within + cluster_.foreseen(jobClass) < comesWithin(c, o.share);
     });
 }
 
@@ -61,6 +63,19 @@
         c.now += each * (job->spec.tasks - job->doneCount);
         c.largestJob = std::max(c.largestJob, each * job->spec.tasks);
     }
+    // What waits for others asks for its machines when these, asked for now, would come in time.
+    for (const Job* job : cluster_.heldJobs()) {
+        ClassDemand& c = classes_[job->spec.jobClass];
+        if (cluster_.borrows(*job)) continue;
+        c.spotAllowed = job->spec.spotAllowed;
+        c.each = job->spec.demand;
+        c.imageGb = std::max(c.imageGb, job->spec.imageGb);
+        const Duration coming = comesWithin(c, usualBoots);
+        if (coming == Duration::max() || cluster_.releaseExpected(*job, now) > now + coming)
+            continue;
+        c.borrows = false;
+        c.now += job->spec.demand.cores * job->spec.tasks;
+    }
     // Up fast and down slowly: the work has to be run anyway, and a machine that comes late
     // costs as much as one that came in time; one sent away too soon has to boot again.
     const auto weight = [&](Duration constant) {
--- a/src/fleet/fleet_test.cpp
+++ b/src/fleet/fleet_test.cpp
@@ -257,6 +257,70 @@
     EXPECT_GE(rentedFor(60s, 80s), 160U) << "machines are slow to come today";
 }
 
+TEST_F(FleetTest, MachinesForTheNextStageAreAskedForWhenTheyWouldComeInTime) {
+    fleet.listed({}, clock.now());
+    Worker w("n-1");
+    w.execute(cluster.beat(w.next(), clock.now()));
+    std::map<std::string, std::string> records;
+    const auto wanted = [&] {
+        unsigned cores = 0;
+        for (const auto& r : fleet.plan(clock.now()).rent) {
+            cores += r.count * 8;
+            fleet.rentFailed(r, true, clock.now());
+        }
+        return cores;
+    };
+    JobSpec first = testing::spec("run-1", 1);
+    first.estimateS = 300;
+    cluster.submit(first, clock.now(), clock.wall());
+    cluster.place(clock.now());
+    testing::commitAll(cluster, records);
+    JobSpec second = testing::spec("run-2", 40);  // 160 cores
+    second.needs = {"run-1"};
+    cluster.submit(second, clock.now(), clock.wall());
+    testing::commitAll(cluster, records);
+    for (int i = 0; i < 3; ++i) w.execute(cluster.beat(w.next(), clock.now()));
+    clock.advance(11s);
+    EXPECT_LE(wanted(), 8U) << "the first one runs for minutes yet";
+    clock.advance(260s);
+    EXPECT_GE(wanted(), 160U) << "it will be done in half a minute, and machines come in 20 s";
+    clock.advance(16s);
+    cluster.cancel(*cluster.find("run-2"), clock.now());
+    testing::commitAll(cluster, records);
+    clock.advance(300s);
+    EXPECT_LE(wanted(), 8U);
+}
+
+TEST_F(FleetTest, AClassThatIsForeseenNeedsLessWarmth) {
+    // Kept warm at four times its peak, the boards' second stage cost a tenth of all money.
+    settings.objectives = {{"wait", "c", 25s, 0.9}};
+    const auto rentedFor = [&](Duration ahead) {
+        scheduler::Cluster other{settings, 1};
+        other.setCatalogue(testing::someCatalogue());
+        Fleet fleet{other, clock.now()};
+        fleet.listed({}, clock.now());
+        std::map<std::string, std::string> records;
+        for (int i = 0; i < 6; ++i) {
+            JobSpec need = testing::spec("first-" + std::to_string(i));
+            need.jobClass = "first";
+            need.priority = Priority::low;
+            need.estimateS = toSeconds(ahead);
+            other.submit(need, clock.now(), clock.wall());
+            testing::commitAll(other, records);
+            JobSpec next = testing::spec("run-" + std::to_string(i), 10);
+            next.needs = {need.id};
+            other.submit(next, clock.now(), clock.wall());
+            testing::commitAll(other, records);
+        }
+        clock.advance(11s);
+        unsigned cores = 0;
+        for (const auto& r : fleet.plan(clock.now()).rent) cores += r.count * 8;
+        return cores;
+    };
+    EXPECT_GE(rentedFor(1s), 6 * 160U) << "four times the peak of what comes";
+    EXPECT_LE(rentedFor(30s), 6 * 48U) << "what comes";
+}
+
 TEST_F(FleetTest, WhatAMachineTookToComeIsLearnt) {
     fleet.listed({}, clock.now());
     submit("run-1", 40);
--- a/src/gateway/members/members.cpp
+++ b/src/gateway/members/members.cpp
@@ -213,8 +213,7 @@
         co_await loop_.sleep(lookPause, scope);
         const auto verdict = co_await client_.watch(settings_.statePrefix + "own/", listing.at,
                                                     watchPatience, scope);
-        if (verdict != Verdict::ok)
-            co_await loop_.wait(changed_, loop_.now() + blindPause, scope);
+        if (verdict != Verdict::ok) co_await loop_.wait(changed_, loop_.now() + blindPause, scope);
     }
 }
 
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -84,6 +84,7 @@
     /// From when its waiting counts: its submission, or when the last job that it needs was done.
     TimePoint releasedAt{};
     std::optional<WallMillis> released;  // the latter, for the record
+    TimePoint startedAt{};               // when its first task ran, as far as is known
     /// Some job that it needs is not done: no task of it starts, and it counts nowhere.
     bool held = false;
     JobId cancelledWith;  // the job before it that was cancelled, and this one with it
--- a/src/scheduler/cluster.cpp
+++ b/src/scheduler/cluster.cpp
@@ -65,10 +65,12 @@
                   spec.id, spec.jobClass, spec.tasks, spec.demand.cores, spec.estimateS,
                   static_cast<int>(spec.priority), spec.checkpointS);
     touchHead(ref, Urgency::users);
-    if (spec.needs.empty())
+    if (spec.needs.empty()) {
+        foresee(ref, Duration::zero());
         opened(ref);
-    else
+    } else {
         enterChain(ref);
+    }
     return Submitted::fresh;
 }
 
--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -1,4 +1,5 @@
 #pragma once
+#include <deque>
 #include <functional>
 #include <memory>
 #include <set>
@@ -67,6 +68,12 @@
     [[nodiscard]] const JobSet& heldJobs() const { return held_; }
     /// From its release until its last task is done, as estimated.
     [[nodiscard]] Duration takes(const JobSpec& spec) const;
+    /// When a job that waits for others will be released, by the same estimates; far off if that
+    /// takes many stages.
+    [[nodiscard]] TimePoint releaseExpected(const Job& job, TimePoint now) const;
+    /// How long before their release four of five jobs of the class are known, of late; nothing if
+    /// none of them waited for others.
+    [[nodiscard]] Duration foreseen(const std::string& jobClass) const;
     /// No task of it starts any more, and all are stopped. It is final, and may be told, once
     /// whatever may still run ends within the time that users are promised.
     void cancel(Job& job, TimePoint now);
@@ -184,6 +191,9 @@
     void release(Job& job, TimePoint now);
     void cancelWith(Job& job, const JobId& with);
     void heed(Job& job);
+    [[nodiscard]] TimePoint releaseAfter(const Job& job, TimePoint now, unsigned stages) const;
+    [[nodiscard]] TimePoint doneExpected(const Job& job, TimePoint now, unsigned stages) const;
+    void foresee(const Job& job, Duration lead);
     [[nodiscard]] Ends endsOf(const Job& job) const;
     void learnTakes(TimePoint now);
     void bind(Job& job, std::uint32_t task, MachineIndex machine,
@@ -282,6 +292,7 @@
     JobSet held_;
     std::map<std::string, double> takesAt_;  // bias by class, as the chains reckon with it
     TimePoint learntAt_{};
+    std::map<std::string, std::deque<Duration>> leads_;  // by class, of the last few jobs
     /// Records by key that were read before what they belong to; they are applied in the end.
     std::map<std::string, std::string> read_;
     std::size_t valueBytes_;           // what a value is to fit into
--- a/src/scheduler/reports.cpp
+++ b/src/scheduler/reports.cpp
@@ -31,6 +31,7 @@
     if (on(phase) && !on(task.phase)) {
         ++job.runningCount;
         task.runningSince = now;
+        if (job.startedAt == TimePoint{}) job.startedAt = now;
     }
     if (!on(phase) && on(task.phase)) --job.runningCount;
     task.phase = phase;
--- a/src/scheduler/waiting.cpp
+++ b/src/scheduler/waiting.cpp
@@ -16,6 +16,9 @@
 constexpr double worthRetiming = 0.1;   // of the logarithm of a class's run times over estimates
 constexpr double lastOfMany = 0.25;     // the last of n tasks takes longer, by this times ln n
 constexpr Duration betweenStages = 2s;  // a result is reported and written, an order given
+constexpr std::size_t leadsKept = 20;
+constexpr unsigned stagesAhead = 32;  // beyond that no machine has to be thought of yet
+constexpr Duration farOff = 24h;
 }  // namespace
 
 Cluster::Need Cluster::wrongNeed(const JobSpec& spec) const {
@@ -40,6 +43,45 @@
     return fromSeconds(fetch + toSeconds(runTime(s)) * last) + betweenStages;
 }
 
+TimePoint Cluster::doneExpected(const Job& job, TimePoint now, unsigned stages) const {
+    if (job.allDone()) return now;
+    const Duration all = takes(job.spec);
+    if (job.held) return releaseAfter(job, now, stages) + all;
+    const bool runs = job.waitingCount() == 0 && job.startedAt != TimePoint{};
+    return runs ? std::max(now, job.startedAt + all) : now + all;
+}
+
+TimePoint Cluster::releaseAfter(const Job& job, TimePoint now, unsigned stages) const {
+    TimePoint at = now;
+    if (stages == 0) return now + farOff;
+    for (const auto& id : job.spec.needs) {
+        const auto need = jobs_.find(id);
+        if (need == jobs_.end()) return now + farOff;
+        at = std::max(at, doneExpected(*need->second, now, stages - 1));
+    }
+    return at;
+}
+
+TimePoint Cluster::releaseExpected(const Job& job, TimePoint now) const {
+    return releaseAfter(job, now, stagesAhead);
+}
+
+void Cluster::foresee(const Job& job, Duration lead) {
+    // Classes of which nothing ever waits are not kept.
+    if (job.spec.needs.empty() && !leads_.contains(job.spec.jobClass)) return;
+    auto& leads = leads_[job.spec.jobClass];
+    leads.push_back(lead);
+    if (leads.size() > leadsKept) leads.pop_front();
+}
+
+Duration Cluster::foreseen(const std::string& jobClass) const {
+    const auto it = leads_.find(jobClass);
+    if (it == leads_.end()) return Duration::zero();
+    std::vector<Duration> sorted(it->second.begin(), it->second.end());
+    std::sort(sorted.begin(), sorted.end());
+    return sorted[sorted.size() / 5];
+}
+
 Ends Cluster::endsOf(const Job& job) const {
     Ends ends;
     if (!job.spec.deadlineS) return ends;
@@ -76,6 +118,7 @@
     } else {
         opened(job);
     }
+    foresee(job, releaseExpected(job, now_) - now_);
     followChains(now_);
 }
 
@@ -96,6 +139,7 @@
         Job& job = *find(w.id);
         joinChain(job);
         chains_.link(w.id, w.needs);
+        if (job.released) foresee(job, *job.released - job.submitted);
         if (const JobId* with = chains_.cancelledWith(w.id)) {
             if (!job.cancelled) cancelWith(job, *with);
         } else if (chains_.waits(w.id)) {
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -49,6 +49,10 @@
 
 }  // namespace
 
+bool validKey(const std::string& key) {
+    return !key.empty() && key.size() <= 200 && key.find(' ') == std::string::npos;
+}
+
 Client::Client(Loop& loop, const settings::Settings& s)
     : loop_(loop),
       http_(loop, s.state, 6),
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -59,6 +59,9 @@
     TimePoint sentAt{};
 };
 
+/// What the service takes as a key.
+[[nodiscard]] bool validKey(const std::string& key);
+
 /// The state service by its published protocol. Malformed answers count as no answer.
 class Client {
   public:
