Chains and upgrades in the lab and in tests: old records, smaller limits, mixed nodes; new troubles

The lab's load has pipelines (needs on earlier jobs, last stage late, withdrawn at any stage), its state service lowers its limits, nodes start held back and are rolled; its checker knows too_early, orphaned, refused, withdrawals in vain, and a job about which no question is answered for 75 s after the last trouble. New kinds: node_isolated, node_roll, state_limits, machine_deaf, machine_restart, late_copies. A job that names a cancelled one is answered with what it is: it was called pending long after its user had been told, which the lab found (201, 36 s after the withdrawal).

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -110,7 +110,7 @@
                                     true,
                                     true,
                                     incarnation,
-                                    Leadership::knownFormat};
+                                    std::min(Leadership::knownFormat, operator_.storedFormat)};
              },
              [this](const mesh::Hello& hello) {
                  if (!hello.leading) {
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -127,7 +127,9 @@
 Task<bool> Reign::parted() {
     if (leadership_.format() < partedFormat) {
         // A node that does not know it might lead next, and would lose what it cannot read.
-        if (!allKnow_(partedFormat) || !leadership_.mayAct()) co_return false;
+        if (cluster_.operatorSettings().storedFormat < partedFormat || !allKnow_(partedFormat) ||
+            !leadership_.mayAct())
+            co_return false;
         const bool stands = co_await leadership_.raiseFormat(partedFormat, scope_);
         if (!stands || scope_.cancelled()) co_return false;
     }
@@ -397,8 +399,10 @@
     const bool accepted = co_await stands([job] { return job->accepted(); });
     if (!accepted) co_return later();
     spdlog::debug("{} is accepted", job->spec.id);
-    if (fresh) co_return http::Response{201, jobs::statusText(job->spec.id, "pending")};
+    // What names a cancelled job is cancelled with it from the start, and must not be called
+    // pending long after that one's user was told.
     auto response = co_await query(job->spec.id);
+    if (fresh && response.status == 200) response.status = 201;
     co_return response;
 }
 
--- a/src/lab/checker.h
+++ b/src/lab/checker.h
@@ -15,6 +15,11 @@
     /// Nothing is wrong any more from `settledS` on: what is submitted then, and before `untilS`,
     /// is accepted before the history ends.
     double settledS = 0, untilS = -1;
+    /// All troubles are over: from then on no accepted job's polls are in vain for `knownS`.
+    double calmS = 0, knownS = 75;
+    /// Not 0: the largest jobs of each class begin within so long, and half of each class, team and
+    /// class's largest jobs is started.
+    double beginS = 0;
 };
 
 struct Violation {
@@ -27,7 +32,7 @@
 };
 struct Verdict {
     std::vector<Violation> violations;
-    std::map<std::string, Share> classes, teams;
+    std::map<std::string, Share> classes, teams, largest;
 };
 
 /// Decides from outside: it knows what users, workers and the cloud saw, and no code of the
--- a/src/lab/checker_test.cpp
+++ b/src/lab/checker_test.cpp
@@ -19,6 +19,7 @@
 
     CheckerTest() {
         terms.cancelS = 10;
+        terms.calmS = 1e9;
         terms.teams["red"] = {"red", 0, 8, 0, 0};
         for (const char* zone : {"a", "b"})
             for (const char* kind : {"ordinary", "spot"})
@@ -179,6 +180,103 @@
     EXPECT_EQ(broken(), Rules{"went_back"});
 }
 
+TEST_F(CheckerTest, NothingStartsBeforeAllThatItNeedsIsDone) {
+    history.jobs["run-1"].demand.cores = 1;
+    job("run-2").needs = {"run-1"};
+    add(2, Kind::completed, "run-1").task = 0;
+    add(3, Kind::completed, "run-1").task = 1;
+    on(4, "run-2", 0, "b-ordinary");
+    EXPECT_EQ(broken(), Rules{});
+    job("run-3").needs = {"run-2", "run-1"};
+    history.jobs["run-3"].demand.cores = 1;
+    on(5, "run-3", 0, "rack");
+    EXPECT_EQ(broken(), Rules{"too_early"});
+}
+
+TEST_F(CheckerTest, WhatComesAfterACancelledJobIsCalledCancelledInTime) {
+    job("run-2").needs = {"run-1"};
+    job("run-3").needs = {"run-2"};
+    told(2, "run-3", 201, "pending", Question::submission);
+    add(2, Kind::withdrew, "run-1");
+    told(3, "run-1", 200, "cancelled", Question::withdrawal);
+    off(4, "run-1", 0, "a-ordinary");
+    told(12, "run-3", 200, "pending");
+    EXPECT_EQ(broken(), Rules{}) << "cancel_s is 10";
+    told(13.5, "run-3", 200, "cancelled");
+    EXPECT_EQ(broken(), Rules{}) << "its own user did not withdraw it, and it is right";
+    history.facts.pop_back();
+    told(13.5, "run-3", 200, "pending");
+    EXPECT_EQ(broken(), Rules{"orphaned"});
+}
+
+TEST_F(CheckerTest, CancelledWithANeedOnlyIfThatOneIs) {
+    job("run-2").needs = {"run-1"};
+    add(1, Kind::submitted, "run-2");
+    add(2, Kind::withdrew, "run-1");
+    told(3, "run-2", 200, "cancelled");
+    EXPECT_EQ(broken(), Rules{}) << "run-1 may be cancelled by now";
+    for (std::uint32_t t = 0; t < 2; ++t) add(4, Kind::completed, "run-1").task = t;
+    told(5, "run-1", 200, "done", Question::withdrawal);
+    EXPECT_EQ(broken(), Rules{"went_back"}) << "done won";
+}
+
+TEST_F(CheckerTest, WhatCouldRunIsNotRefused) {
+    told(2, "run-1", 422, "", Question::submission);
+    EXPECT_EQ(broken(), Rules{"refused"});
+}
+
+TEST_F(CheckerTest, OnceAllTroublesAreOverEachJobIsAnsweredForItself) {
+    terms.calmS = 100;
+    told(2, "run-1", 201, "pending", Question::submission);
+    job("run-2");
+    told(2, "run-2", 201, "pending", Question::submission);
+    // Most polls of run-2 are in vain as well, so that no share of others tells.
+    for (int s = 0; s < 170; s += 5) {
+        asked(5 + s, "run-1");
+        asked(5 + s, "run-2");
+    }
+    EXPECT_EQ(broken(), Rules{}) << "75 s from the end of the troubles on";
+    asked(176, "run-1");
+    EXPECT_EQ(broken(), Rules{"forgotten"});
+    history.facts.pop_back();
+    told(174, "run-1", 200, "running");
+    asked(176, "run-1");
+    EXPECT_EQ(broken(), Rules{});
+    // And so is a withdrawal.
+    for (int s = 0; s < 90; s += 5)
+        add(176 + s, Kind::asked, "run-1").question = Question::withdrawal;
+    EXPECT_EQ(broken(), Rules{"stuck"});
+}
+
+TEST_F(CheckerTest, TheLargestOfEachClassBeginAndHalfOfEverythingIsServed) {
+    terms.beginS = 100;
+    history.jobs["run-1"].tasks = 50;
+    add(0, Kind::submitted, "run-1");
+    told(1, "run-1", 201, "pending", Question::submission);
+    for (int i = 2; i < 9; ++i) {
+        const std::string id = "run-" + std::to_string(i);
+        job(id);
+        add(0, Kind::submitted, id);
+        told(1, id, 201, "pending", Question::submission);
+        if (i < 6) on(2, id, 0, "far");
+        if (i < 6) off(3, id, 0, "far");
+    }
+    add(200, Kind::up, "");
+    EXPECT_EQ(broken(), Rules{}) << "run-1 began, and half of the others";
+    auto facts = history.facts;
+    std::erase_if(history.facts,
+                  [](const Fact& f) { return f.kind == Kind::on && f.job == "run-5"; });
+    std::erase_if(history.facts,
+                  [](const Fact& f) { return f.kind == Kind::on && f.job == "run-4"; });
+    EXPECT_EQ(broken(), Rules{"not_served"});
+    history.facts = facts;
+    std::erase_if(history.facts,
+                  [](const Fact& f) { return f.kind == Kind::on && f.job == "run-1"; });
+    EXPECT_TRUE(broken().contains("begins_late"));
+    terms.beginS = 0;
+    EXPECT_EQ(broken(), Rules{}) << "only where a scenario asks for it";
+}
+
 TEST_F(CheckerTest, SomethingRunsAndWhatComesAfterTheTroublesIsAccepted) {
     terms.settledS = 50;
     terms.untilS = 100;
--- a/src/lab/scenario.h
+++ b/src/lab/scenario.h
@@ -25,6 +25,27 @@
     std::optional<double> waitS;
 };
 
+/// Jobs of which the later ones need the earlier ones; the deadline is the last one's.
+struct PipelineTerms {
+    struct Stage {
+        std::string jobClass;
+        std::array<std::uint32_t, 2> jobs{1, 1};
+        std::vector<std::size_t> needs;  // stages before it
+    };
+    std::string name;
+    std::vector<Stage> stages;
+    double perMinute = 0, fromS = 0, deadlinePlusS = 60;
+    /// Shares of them: the first job needs one of another class that was accepted before; the last
+    /// is submitted once the others are over; one of its jobs is withdrawn.
+    double onEarlier = 0, late = 0, withdrawn = 0;
+};
+
+/// Limits of the state service that come with a trouble; 0: as they are.
+struct NextLimits {
+    std::size_t valueBytes = 0, txnOps = 0;
+    double writeRps = 0;
+};
+
 struct SiteTerms {
     std::string name;
     std::size_t nodes = 3, sockets = 2000;
@@ -32,6 +53,11 @@
     std::vector<TypeTerms> types;
     std::vector<settings::Team> teams;
     std::vector<ClassTerms> classes;
+    std::vector<PipelineTerms> pipelines;
+    /// Its nodes start by settings that know no next limits and hold the stored state's form back,
+    /// as versions before chains do; a roll brings the others.
+    bool heldBack = false;
+    NextLimits next;
     StateService::Terms state{200, 60, 16 * 1024, 20, std::chrono::milliseconds(4)};
     double cloudRps = 10, listLagS = 6, reportS = 5, leaseS = 20, cancelS = 45;
     double restartS = 0.2, clockOffMs = 250;
@@ -52,8 +78,18 @@
     std::uint32_t most = 6;
 };
 
+/// What is to be shown of a scenario beside the rules; 0: nothing.
+struct Shown {
+    /// Once all troubles are over, no job's polls are in vain for so long.
+    double knownS = 75;
+    /// The largest jobs of each class begin within that, and of each class, team and class's
+    /// largest jobs half is started.
+    double beginS = 0;
+};
+
 struct Scenario {
     double seconds = 60;
+    Shown shown;
     std::vector<SiteTerms> sites;
     std::vector<Fault> faults;
     Swarm swarm;
--- a/src/lab/state_service.cpp
+++ b/src/lab/state_service.cpp
@@ -22,6 +22,15 @@
     server_.start(scope);
 }
 
+void StateService::lower(const Terms& terms) {
+    if (terms.valueBytes > 0) terms_.valueBytes = terms.valueBytes;
+    if (terms.txnOps > 0) terms_.txnOps = terms.txnOps;
+    if (terms.writeRps > 0) {
+        terms_.writeRps = terms.writeRps;
+        changes_ = Budget(terms.writeRps, terms.writeRps, loop_.now());
+    }
+}
+
 void StateService::erase(const std::string& key) {
     keys.erase(key);
     erasedAt_ = ++epoch_;
--- a/src/lab/state_service.h
+++ b/src/lab/state_service.h
@@ -36,6 +36,8 @@
     std::function<Fault(const http::Request&)> fault;
     /// A key was put.
     std::function<void(const std::string& key, const std::string& data)> onPut;
+    /// Its limits are others from now on, where they are not 0; what is stored stays.
+    void lower(const Terms& terms);
     /// Other changes, after which the service no longer knows what came before them.
     void changeElsewhere(std::uint64_t times) {
         epoch_ += times;
--- a/src/lab/users.h
+++ b/src/lab/users.h
@@ -52,12 +52,33 @@
         double patienceS = 1e9;                // stops polling
     };
     void submit(Wish wish);
+    /// Jobs that need others of the same pipeline: submitted one after another, each as soon as
+    /// those that it needs are accepted; `lastLate`: the last only when the others are over.
+    struct Pipeline {
+        std::vector<Wish> wishes;
+        std::vector<std::vector<std::size_t>> needs;  // for each, which of them
+        bool lastLate = false;
+    };
+    void submit(Pipeline pipeline);
+    /// Some array that was accepted, of no pipeline; empty if there is none.
+    [[nodiscard]] std::string someAccepted();
+    /// A message that the network had kept: it arrives at some node, and nobody waits for the
+    /// answer.
+    void deliver(std::string target, std::string body);
     /// Somebody asks about a job that nobody has submitted.
     void askForNothing();
     void end();
 
   private:
+    /// How far a job is, for those who wait to submit what needs it.
+    enum class Stage { submitted, accepted, refused, over };
     Task<void> follow(Wish wish);
+    Task<void> follow(Pipeline pipeline);
+    Task<void> post(std::string target, std::string body);
+    void reached(const std::string& job, Stage stage) {
+        stages_[job] = stage;
+        moved_.notify();
+    }
     Task<void> strayPoll(std::string id);
     /// Nothing if no node answered in time.
     Task<std::optional<http::Response>> ask(std::string job, Fact::Question question,
@@ -74,6 +95,9 @@
     Balancer balancer_;
     History& history_;
     std::uint64_t strays_ = 0;
+    std::map<std::string, Stage> stages_;
+    std::vector<std::string> accepted_;
+    basaltchute::Event moved_;
 };
 
 /// A submission as users send it.
--- a/src/lab/worker.h
+++ b/src/lab/worker.h
@@ -15,21 +15,26 @@
 /// What the workers of a site know alike, and what is stored outside of their machines.
 struct WorkerTerms {
     Duration report{}, lease{};
-    std::vector<std::pair<std::string, std::string>> nodes;  // name and address of controllers
-    std::map<std::string, double> progress;                  // saved seconds, by task
-    std::set<std::string> results;                           // tasks that are done
-    std::map<std::string, double> runS;                      // true run time, by job
+    std::vector<std::pair<std::string, std::string>> nodes;   // name and address of controllers
+    std::map<std::string, double> progress;                   // saved seconds, by task
+    std::set<std::string> results;                            // tasks that are done
+    std::map<std::string, double> runS;                       // true run time, by job
+    std::function<void(const std::string& report)> reported;  // one has left
 };
 
 /// A worker by its published protocol, on a machine of its own.
 class Worker {
   public:
+    /// `former`: the process that it follows on the same machine. Its lease counts as over:
+    /// messages are told older from newer by session and sequence, so they go on.
     Worker(Timeline& time, Machine& machine, Cloud::Host host, TypeTerms type, WorkerTerms& terms,
-           History& history);
+           History& history, const Worker* former = nullptr);
     /// The machine and all that is on it is gone; `power`: its connections are reset.
     void kill(bool power);
     /// It does not execute its tasks and says nothing, and goes on later.
     void hang(Duration span) { machine_.freeze(span); }
+    /// Its reports go out, but neither answers nor commands come in; what was held back does later.
+    void deafen(Duration span);
     void recall(Duration notice);
     void setSick(bool sick) { sick_ = sick; }
     [[nodiscard]] bool gone() const { return gone_; }
@@ -50,6 +55,7 @@
     };
     using Key = std::pair<std::string, Attempt>;  // task and attempt
     [[nodiscard]] TimePoint now() const { return machine_.clock().now(); }
+    [[nodiscard]] bool deaf() const { return now() < deafUntil_; }
     Task<void> beat();
     Task<http::Response> serve(http::Request request);
     Task<void> run(Key key, std::uint64_t serial);
@@ -82,7 +88,7 @@
     std::map<std::string, TimePoint> images_;  // by when each is there
     std::uint64_t session_ = 1, sequence_ = 0, serials_ = 0;
     Token token_ = 0;
-    TimePoint leaseEnd_{}, tokenToldAt_{};
+    TimePoint leaseEnd_{}, tokenToldAt_{}, deafUntil_{};
     std::optional<TimePoint> notice_;
     bool sick_ = false, gone_ = false, changed_ = false;
     std::size_t node_ = 0;
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -28,6 +28,7 @@
   private:
     struct Node {
         settings::Settings settings;
+        settings::Operator operatorSettings;
         std::unique_ptr<Machine> machine;
         std::unique_ptr<app::Controller> controller;
     };
@@ -43,8 +44,11 @@
         WorkerTerms workerTerms;
         std::vector<std::unique_ptr<Machine>> machines;
         std::map<std::string, std::unique_ptr<Worker>> workers;
+        std::vector<std::unique_ptr<Worker>> former;  // that were started again
         std::uint64_t named = 0;
         std::map<std::string, double> load;  // how many times as many of a class come
+        /// Reports are copied, and the copies come so late.
+        double copiesLateS = 0;
     };
     void build(Site& site);
     void start(Node& node);
@@ -52,6 +56,12 @@
     static void stop(Node& node);
     void arrive(Site& site);
     void submit(Site& site, const ClassTerms& terms);
+    void submit(Site& site, const PipelineTerms& terms);
+    [[nodiscard]] Users::Wish wish(Site& site, const ClassTerms& terms);
+    /// Ends the nodes one after the other; each is back as a version that knows all there is.
+    void roll(Site& site, std::size_t next, double everyS, double backS);
+    void upgrade(Site& site, Node& node);
+    void restart(Site& site, Worker& worker, double backS);
     void draw(const Swarm& swarm);
     void apply(const Fault& fault);
     void applyTo(Site& site, const Fault& fault);
--- a/src/lab/world_test.cpp
+++ b/src/lab/world_test.cpp
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 #include <spdlog/spdlog.h>
 
+#include <array>
+
 namespace basaltchute::lab {
 namespace {
 
@@ -86,6 +88,51 @@
     }
 }
 
+TEST_F(LabTest, ChainsOfFourEndInOrderWhileNodesAreUpgradedAndAreCancelledAsAWhole) {
+    // A user's way through: accepted by any node, one stage after another, one answer for all.
+    Scenario s = scenario("chains");
+    s.swarm.toS = 0;
+    s.sites[0].pipelines.push_back(s.sites[0].pipelines[0]);
+    s.sites[0].pipelines[1].withdrawn = 1;
+    Fault roll;
+    roll.kind = "node_roll";
+    roll.atS = 60;
+    roll.forS = 0.3;
+    roll.factor = 12;
+    s.faults.push_back(roll);
+    World world(s, 4);
+    world.run();
+    for (const auto& v : world.verdict().violations) ADD_FAILURE() << v.rule << ": " << v.what;
+    std::map<std::string, double> done, cancelled;
+    std::set<std::string> withdrawn;
+    for (const auto& f : world.history().facts) {
+        if (f.kind == Fact::Kind::withdrew) withdrawn.insert(f.job);
+        if (f.kind != Fact::Kind::told || f.status != 200) continue;
+        if (f.word == "done") done.try_emplace(f.job, f.at);
+        if (f.word == "cancelled") cancelled.try_emplace(f.job, f.at);
+    }
+    const auto& jobs = world.history().jobs;
+    int inOrder = 0, together = 0;
+    for (const auto& [id, spec] : jobs) {
+        if (spec.jobClass != "close") continue;
+        // The first stage, and what needs it on the way to this job.
+        const JobId tally = spec.needs.front(), trim = jobs.at(tally).needs.front(),
+                    gather = jobs.at(trim).needs.front();
+        const std::array chain{gather, trim, tally, id};
+        const auto all = [&](const std::map<std::string, double>& told) {
+            return std::all_of(chain.begin(), chain.end(),
+                               [&](const auto& j) { return told.contains(j); });
+        };
+        // Users ask each 5 s or so: an order is sure only beyond that.
+        if (all(done) && done[gather] < done[trim] + 6 && done[trim] < done[tally] + 6 &&
+            done[tally] < done[id] + 6)
+            ++inOrder;
+        if (withdrawn.contains(gather) && all(cancelled)) ++together;
+    }
+    EXPECT_GT(inOrder, 8);
+    EXPECT_GT(together, 0);
+}
+
 TEST_F(LabTest, AScenarioIsRefusedWithItsFieldAndWhatWasExpected) {
     EXPECT_EQ(wrongIn("{"), "not JSON");
     EXPECT_EQ(wrongIn("{}"), "#: expected \"seconds\"");
@@ -105,6 +152,27 @@
               "#/faults/0/site: expected a known site");
     EXPECT_EQ(wrongIn(with(R"(,"faults":[{"atS":1,"kind":"zone_cut","site":"east","zone":"b"}])")),
               "#/faults/0/zone: expected a zone of that site");
+    const auto chained = [&](const std::string& stages, const std::string& state = "") {
+        std::string text = with("");
+        text.insert(text.find(R"("classes")"),
+                    R"("pipelines":[{"name":"p","perMinute":1,"stages":)" + stages + "}]," + state);
+        return wrongIn(text);
+    };
+    EXPECT_EQ(chained(R"([{"class":"web"},{"class":"web","needs":[0]}])"), "");
+    EXPECT_EQ(chained(R"([{"class":"web","needs":[0]}])"),
+              "#/sites/0/pipelines/0/stages/0/needs: expected numbers of stages before it");
+    EXPECT_EQ(chained(R"([{"class":"wob"}])"),
+              "#/sites/0/pipelines/0/stages/0/class: expected a class of arrays of that site");
+    EXPECT_EQ(chained(R"([{"class":"web","jobs":[3,2]}])"),
+              "#/sites/0/pipelines/0/stages/0/jobs: expected the lower bound first");
+    EXPECT_EQ(chained("[]").substr(0, 30), "#/sites/0/pipelines/0/stages: ");
+    EXPECT_EQ(wrongIn(with(R"(,"faults":[{"atS":1,"kind":"state_limits"}])")),
+              "#/faults/0/kind: expected a site with state/next");
+    EXPECT_EQ(
+        wrongIn(with(R"(,"faults":[{"atS":1,"kind":"machine_deaf","forS":-1}])")).substr(0, 16),
+        "#/faults/0/forS:");
+    EXPECT_EQ(wrongIn(with(R"(,"shown":{"beginS":"4 min"}})")).substr(0, 8), "not JSON");
+    EXPECT_EQ(wrongIn(with(R"(,"shown":{"beginS":"4 min"})")).substr(0, 15), "#/shown/beginS:");
     std::string large = with("");
     large.replace(large.find(R"("cores":1,"ramGb":1)"), 9, R"("cores":3)");
     EXPECT_EQ(wrongIn(large), "#/sites/0/classes/0: expected a type that a task fits");
--- a/src/mesh/mesh_test.cpp
+++ b/src/mesh/mesh_test.cpp
@@ -152,6 +152,7 @@
     EXPECT_FALSE(out.hello->loans);
     EXPECT_FALSE(out.hello->handsOn);
     EXPECT_EQ(out.hello->process, "");
+    EXPECT_EQ(out.hello->format, 1U);
     EXPECT_EQ(out.hello->hears, 0U);
 }
 
--- a/src/scheduler/records.cpp
+++ b/src/scheduler/records.cpp
@@ -265,6 +265,8 @@
             chains_.settle(job.spec.id, chains::Fate::cancelled);
         else if (!job.cancelled && job.doneDurable())
             chains_.settle(job.spec.id, chains::Fate::done);
+        // At once: whoever asks next is told what follows from it.
+        followChains(now_);
     }
     if (!job.open() && !job.cancelled) return;
     // Nothing is launched before its job stands, whichever record came first.
--- /dev/null
+++ b/src/scheduler/upgrade_test.cpp
@@ -0,0 +1,436 @@
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "mesh/mesh.h"
+#include "scheduler/cluster.h"
+#include "testing/world.h"
+
+// The version in production and this one on each other's data. src/jobs/golden/production.json
+// holds what a build of that version wrote (tools/golden/write.cpp).
+
+namespace basaltchute::scheduler {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::Worker;
+using workers::ExitCause;
+using workers::TaskStatus;
+
+json::Document golden() {
+    const auto text = settings::readFile(GOLDEN);
+    auto doc = json::parse(text.value_or(""));
+    EXPECT_TRUE(doc) << GOLDEN;
+    return std::move(*doc);
+}
+
+std::map<std::string, std::string> goldenRecords() {
+    std::map<std::string, std::string> out;
+    const auto doc = golden();
+    for (const auto& r : doc["records"].GetObject()) out[r.name.GetString()] = json::text(r.value);
+    return out;
+}
+
+/// What the version in production reads of a job's records: its rules, written down once more.
+struct OldJob {
+    std::string description;  // without what it does not know
+    std::uint64_t tasks = 0, per = 0;
+    std::int64_t at = 0;
+    bool cancelled = false, withdrawing = false;
+    struct Task {
+        bool done = false, guaranteed = false;
+        std::uint64_t attempt = 0;
+        std::string machine;
+        bool operator==(const Task&) const = default;
+    };
+    std::vector<Task> state;
+};
+/// Nothing if that version would call one of them malformed.
+std::optional<std::map<std::string, OldJob>> readByOldRules(
+    const std::map<std::string, std::string>& records) {
+    std::map<std::string, OldJob> jobs;
+    for (const auto& [key, data] : records) {
+        if (!key.starts_with("jobs/")) continue;
+        const auto doc = json::parse(data);
+        if (!doc || !doc->IsObject()) return std::nullopt;
+        const std::string rest = key.substr(5);
+        const auto slash = rest.find('/');
+        std::uint64_t record = 0;
+        if (slash == std::string::npos) {
+            const auto* spec = json::find(*doc, "spec");
+            const auto at = json::number(*doc, "at");
+            const auto per = json::count(*doc, "per");
+            if (spec == nullptr || !at || !per || *per == 0) return std::nullopt;
+            auto parsed = jobs::parseSubmission(json::text(*spec));
+            if (!std::holds_alternative<JobSpec>(parsed)) return std::nullopt;
+            OldJob j;
+            j.tasks = std::get<JobSpec>(parsed).tasks;
+            json::Document known;
+            known.CopyFrom(*spec, known.GetAllocator());
+            known.RemoveMember("waitsOn");
+            j.description = json::text(known);
+            j.per = *per;
+            j.at = static_cast<std::int64_t>(*at);
+            j.cancelled = json::boolean(*doc, "cancelled").value_or(false);
+            j.withdrawing = json::boolean(*doc, "withdrawing").value_or(false);
+            j.state.resize(j.tasks);
+            jobs[rest] = std::move(j);
+        } else {
+            record = std::strtoul(rest.c_str() + slash + 1, nullptr, 10);
+        }
+        const auto found = jobs.find(rest.substr(0, slash));
+        if (found == jobs.end()) return std::nullopt;
+        OldJob& j = found->second;
+        if (record >= (j.tasks + j.per - 1) / j.per) return std::nullopt;
+        const auto* done = json::array(*doc, "done");
+        const auto* bound = json::array(*doc, "bound");
+        if (done == nullptr || bound == nullptr) return std::nullopt;
+        for (unsigned i = 0; i + 1 < done->Size(); i += 2)
+            for (std::uint64_t t = (*done)[i].GetUint();
+                 t <= (*done)[i + 1].GetUint() && t < j.tasks; ++t)
+                j.state[t].done = true;
+        for (const auto& b : bound->GetArray()) {
+            if (!b.IsArray() || b.Size() < 2 || b[0].GetUint() >= j.tasks) return std::nullopt;
+            OldJob::Task& t = j.state[b[0].GetUint()];
+            t.attempt = b[1].GetUint64();
+            if (b.Size() < 3) continue;
+            t.machine = b[2].GetString();
+            t.guaranteed = b.Size() > 3 && b[3].IsTrue();
+        }
+    }
+    return jobs;
+}
+
+class UpgradeTest : public ::testing::Test {
+  protected:
+    FakeClock clock;
+    settings::Settings settings = smaller();
+    std::unique_ptr<Cluster> cluster;
+    std::map<std::string, std::string> records = goldenRecords();
+    std::map<std::string, Worker> workers;
+    Token token = 7;
+
+    static settings::Settings smaller() {
+        auto s = testing::someSettings();
+        s.valueBytes = 2048;
+        return s;
+    }
+    void takeOver(bool parted) {
+        cluster = std::make_unique<Cluster>(settings, ++token);
+        cluster->setCatalogue(testing::someCatalogue());
+        for (const auto& [k, data] : records)
+            ASSERT_TRUE(cluster->load(k, data, clock.now(), clock.wall())) << k;
+        cluster->loaded(clock.now());
+        if (parted) cluster->setParted();
+    }
+    /// What runs by the records is there, and says so.
+    void report() {
+        for (MachineIndex i = 0; i < cluster->machines().size(); ++i) {
+            const auto& m = cluster->machines()[i];
+            Worker& w = workers.try_emplace(m.name, m.name).first->second;
+            for (const auto& c : m.charges) {
+                const bool known =
+                    std::any_of(w.report.tasks.begin(), w.report.tasks.end(), [&](const auto& t) {
+                        return t.job == c.job->spec.id && t.task == c.task &&
+                               t.attempt == c.attempt;
+                    });
+                if (!known)
+                    w.report.tasks.push_back({c.job->spec.id, c.task, c.attempt,
+                                              TaskStatus::running, ExitCause::other, false});
+            }
+        }
+        for (auto& [name, w] : workers) {
+            w.execute(cluster->beat(w.next(), clock.now()));
+            w.report.token = token;
+        }
+    }
+    /// So many of the writes that are due, then the process ends.
+    void write(std::size_t most) {
+        while (true) {
+            const auto dirty = cluster->take().dirty;
+            if (dirty.empty()) return;
+            for (const auto& [key, urgency] : dirty) {
+                const auto e = cluster->encode(key);
+                if (!e) continue;
+                if (most-- == 0) return;
+                EXPECT_TRUE(e->data.size() <= settings.valueBytes) << key << ' ' << e->data.size();
+                records[key] = e->data;
+                cluster->committed(key, e->version);
+            }
+        }
+    }
+    void finishSome(std::mt19937& random, double share) {
+        for (auto& [name, w] : workers)
+            for (std::size_t t = 0; t < w.report.tasks.size(); ++t)
+                if (static_cast<double>(random() % 1000) < share * 1000)
+                    w.set(t, TaskStatus::exited, ExitCause::done);
+    }
+    /// All that the leader holds for durable is read back as it is.
+    void compare(Cluster& before) {
+        for (const char* id : {"run-000001", "run-000002", "run-000003", "run-000004", "run-000005",
+                               "run-000006", "run-000007"}) {
+            const Job& was = *before.find(id);
+            const Job& is = *cluster->find(id);
+            if (was.cancelDurable()) {
+                EXPECT_TRUE(is.cancelFinal) << id;
+            }
+            if (was.doneDurable()) {
+                EXPECT_TRUE(is.allDone()) << id;
+            }
+            for (std::uint32_t t = 0; t < was.spec.tasks; ++t) {
+                const auto& s = was.layout.of(t);
+                if (s.durable < s.version) continue;
+                const JobTask &a = was.tasks[t], &b = is.tasks[t];
+                ASSERT_EQ(a.state, b.state) << id << '/' << t;
+                // Of a cancelled job no attempt is ever made again.
+                if (a.state == TaskState::done || was.cancelled) continue;
+                ASSERT_EQ(a.attempt, b.attempt) << id << '/' << t;
+                if (a.state != TaskState::bound) continue;
+                ASSERT_EQ(before.machines()[a.machine].name, cluster->machines()[b.machine].name);
+                ASSERT_EQ(a.guaranteed, b.guaranteed) << id << '/' << t;
+            }
+        }
+    }
+};
+
+TEST_F(UpgradeTest, WhatProductionWroteIsReadAsItWasMeant) {
+    takeOver(false);
+    EXPECT_EQ(cluster->jobCount(), 7U);
+    EXPECT_EQ(cluster->find("run-000001")->waitingCount(), 2U);
+    EXPECT_EQ(cluster->find("run-000002")->boundCount, 300U);
+    EXPECT_EQ(*cluster->find("run-000002")->spec.deadlineS, 120.5);
+    EXPECT_TRUE(cluster->find("run-000002")->spec.needs.empty());
+    EXPECT_EQ(cluster->find("run-000003")->doneCount, 320U);
+    EXPECT_EQ(cluster->find("run-000003")->boundCount, 330U);
+    EXPECT_EQ(cluster->find("run-000003")->tasks[401].attempt, 1U + 401 % 3);
+    EXPECT_TRUE(cluster->find("run-000004")->cancelled);
+    EXPECT_FALSE(cluster->find("run-000004")->cancelFinal);
+    EXPECT_TRUE(cluster->find("run-000005")->cancelDurable());
+    EXPECT_TRUE(cluster->find("run-000006")->tasks[2].guaranteed);
+    EXPECT_TRUE(cluster->find("run-000007")->doneDurable());
+    const auto doc = golden();
+    for (const auto& f : doc["frames"].GetObject()) {
+        std::string data;
+        const std::string hex = f.value.GetString();
+        for (std::size_t i = 0; i < hex.size(); i += 2)
+            data += static_cast<char>(std::stoi(hex.substr(i, 2), nullptr, 16));
+        mesh::Message m;
+        ASSERT_EQ(mesh::decode(data, m), mesh::Decoded::message) << f.name.GetString();
+        if (!m.hello) continue;
+        EXPECT_EQ(m.hello->node, "rig-1");
+        EXPECT_EQ(m.hello->process, "a-process");
+        EXPECT_TRUE(m.hello->handsOn);
+        EXPECT_EQ(m.hello->format, 1U) << "nothing that it does not know may be written";
+    }
+}
+
+TEST_F(UpgradeTest, WhatIsWrittenWhileProductionServesIsReadByItsRules) {
+    // Old blocks stay as large as they are, new jobs have small ones, and no key is new to it.
+    settings.valueBytesNow = 16 * 1024;
+    takeOver(false);
+    std::mt19937 random(5);
+    JobSpec fresh = testing::spec("run-000009", 120);
+    fresh.demand = {0.1, 0, 0.1};
+    cluster->submit(fresh, clock.now(), clock.wall());
+    for (int round = 0; round < 12; ++round) {
+        report();
+        finishSome(random, 0.1);
+        if (round == 6) cluster->cancel(*cluster->find("run-000003"), clock.now());
+        clock.advance(1s);
+        cluster->place(clock.now());
+        testing::commitAll(*cluster, records);
+    }
+    for (const auto& [key, data] : records) EXPECT_TRUE(key.starts_with("jobs/")) << key;
+    for (const char* key : {"jobs/run-000009", "jobs/run-000009/1"})
+        EXPECT_LE(records.at(key).size(), 2048U);
+    const auto old = readByOldRules(records);
+    ASSERT_TRUE(old);
+    for (const auto& [id, j] : *old) {
+        const Job& job = *cluster->find(id);
+        EXPECT_EQ(j.tasks, job.spec.tasks);
+        EXPECT_EQ(j.at, job.submitted.count());
+        EXPECT_EQ(j.cancelled, job.cancelFinal) << id;
+        EXPECT_EQ(j.withdrawing, job.cancelled && !job.cancelFinal) << id;
+        for (std::uint32_t t = 0; t < job.spec.tasks; ++t) {
+            const JobTask& task = job.tasks[t];
+            ASSERT_EQ(j.state[t].done, task.state == TaskState::done) << id << '/' << t;
+            if (task.state == TaskState::done || (job.cancelled && job.boundCount == 0)) continue;
+            ASSERT_EQ(j.state[t].attempt, task.attempt) << id << '/' << t;
+            const bool bound = task.state == TaskState::bound;
+            ASSERT_EQ(j.state[t].machine, bound ? cluster->machines()[task.machine].name : "");
+            ASSERT_EQ(j.state[t].guaranteed, bound && task.guaranteed);
+        }
+    }
+    EXPECT_EQ(old->size(), 8U);
+    // And by production's rules what it wrote itself says the same as before.
+    EXPECT_TRUE(readByOldRules(goldenRecords()));
+}
+
+TEST_F(UpgradeTest, LargeRecordsGoOnChangingAfterTheLimitHasFallen) {
+    takeOver(true);
+    std::mt19937 random(7);
+    for (int round = 0; round < 10; ++round) {
+        report();
+        finishSome(random, 0.2);
+        clock.advance(1s);
+        cluster->place(clock.now());
+        write(SIZE_MAX);
+    }
+    cluster->cancel(*cluster->find("run-000002"), clock.now());
+    clock.advance(1s);
+    cluster->expire(clock.now());
+    write(SIZE_MAX);
+    EXPECT_TRUE(cluster->find("run-000002")->cancelDurable());
+    EXPECT_TRUE(cluster->find("run-000004")->cancelDurable()) << "it was being withdrawn";
+    EXPECT_GT(records.at("jobs/run-000002").size(), 16'000U) << "as production left it";
+    EXPECT_LT(records.at("parts/run-000002").size(), 30U);
+    for (int round = 0; round < 60 && !cluster->find("run-000003")->doneDurable(); ++round) {
+        report();
+        finishSome(random, 0.5);
+        clock.advance(1s);
+        cluster->place(clock.now());
+        write(SIZE_MAX);
+    }
+    EXPECT_TRUE(cluster->find("run-000003")->doneDurable());
+    const auto before = std::move(cluster);
+    takeOver(true);
+    compare(*before);
+    EXPECT_TRUE(cluster->find("run-000002")->cancelDurable());
+    EXPECT_TRUE(cluster->find("run-000003")->doneDurable());
+}
+
+TEST_F(UpgradeTest, ATakeOverAfterAnyWriteFindsAllThatStood) {
+    // Every write of a block that goes into parts may be the last one of its leader.
+    for (unsigned seed = 1; seed <= 60; ++seed) {
+        records = goldenRecords();
+        workers.clear();
+        std::mt19937 random(seed);
+        takeOver(true);
+        for (int life = 0; life < 6; ++life) {
+            for (int round = 0; round < 3; ++round) {
+                report();
+                finishSome(random, 0.05);
+                if (random() % 4 == 0)
+                    cluster->cancel(*cluster->find(random() % 2 == 0 ? "run-000002" : "run-000003"),
+                                    clock.now());
+                clock.advance(1s);
+                cluster->place(clock.now());
+                if (round < 2) write(SIZE_MAX);
+            }
+            write(random() % 12);
+            const auto before = std::move(cluster);
+            takeOver(true);
+            compare(*before);
+            if (HasFatalFailure()) FAIL() << "seed " << seed << ", life " << life;
+        }
+    }
+}
+
+TEST_F(UpgradeTest, AHundredThousandTasksInOldBlocksAreWrittenOnInParts) {
+    records.clear();
+    auto before = settings;
+    before.valueBytes = before.valueBytesNow = 16 * 1024;
+    Cluster old(before, 1);
+    old.setCatalogue(testing::someCatalogue());
+    JobSpec s = testing::spec("run-000001", 100'000);
+    s.demand = {0.001, 0, 0.001};
+    old.submit(s, clock.now(), clock.wall());
+    std::vector<Worker> machines;
+    for (int i = 0; i < 12; ++i)
+        machines.emplace_back("n-" + std::string(60, 'x') + std::to_string(i));
+    for (int i = 0; i < 80; ++i) {
+        for (auto& w : machines) {
+            w.execute(old.beat(w.next(), clock.now()));
+            w.report.token = 1;
+        }
+        old.place(clock.now(), 64);
+        testing::commitAll(old, records);
+    }
+    const std::size_t blocks = records.size();
+    ASSERT_GT(blocks, 5U);
+    takeOver(true);
+    std::mt19937 random(3);
+    for (int round = 0; round < 4; ++round) {
+        report();
+        finishSome(random, 0.5);
+        write(SIZE_MAX);
+    }
+    EXPECT_GT(records.size(), blocks);
+    const auto was = std::move(cluster);
+    takeOver(true);
+    EXPECT_EQ(cluster->find("run-000001")->doneCount, was->find("run-000001")->doneCount);
+    EXPECT_GT(cluster->find("run-000001")->doneCount, 1000U);
+}
+
+TEST_F(UpgradeTest, ADescriptionThatExceedsAValueStandsInSeveralRecordsBeforeTheJobDoes) {
+    records.clear();
+    takeOver(true);
+    std::vector<JobId> needs;
+    for (int i = 0; i < 4000; ++i) {
+        const JobId id = "run-" + std::to_string(100'000 + i);
+        JobSpec s = testing::spec(id);
+        cluster->submit(s, clock.now(), clock.wall());
+        needs.push_back(id);
+    }
+    testing::commitAll(*cluster, records);
+    records.clear();  // of these nothing more is looked at
+    JobSpec s = testing::spec("run-9", 40);
+    s.needs = needs;
+    s.image = "caf\xC3\xA9 \"quoted\" \n";
+    ASSERT_EQ(cluster->submit(s, clock.now(), clock.wall()), Submitted::fresh);
+    const Job& job = *cluster->find("run-9");
+    std::size_t writes = 0;
+    for (auto e = cluster->take(); !e.dirty.empty(); e = cluster->take())
+        for (const auto& [key, urgency] : e.dirty) {
+            const auto encoded = cluster->encode(key);
+            if (!encoded) continue;
+            EXPECT_LE(encoded->data.size(), settings.valueBytes) << key;
+            const bool beside = key.find("/s") != std::string::npos;
+            EXPECT_TRUE(!beside || !job.accepted()) << "the job itself comes after " << key;
+            records[key] = encoded->data;
+            cluster->committed(key, encoded->version);
+            ++writes;
+        }
+    EXPECT_TRUE(job.accepted());
+    EXPECT_GT(writes, 30U);
+    takeOver(true);
+    const Job& read = *cluster->find("run-9");
+    EXPECT_EQ(read.spec.needs, needs);
+    EXPECT_EQ(read.spec.image, s.image);
+    EXPECT_TRUE(read.held) << "none of what it needs is on record here, so none is done";
+}
+
+TEST_F(UpgradeTest, AValueThatIsRefusedIsNeverWrittenAsItIsAgain) {
+    // The limit fell below what the settings say.
+    records.clear();
+    takeOver(true);
+    Worker w("n-1");
+    w.execute(cluster->beat(w.next(), clock.now()));
+    JobSpec s = testing::spec("run-000001", 200);
+    s.demand = {0.02, 0, 0.02};
+    cluster->submit(s, clock.now(), clock.wall());
+    cluster->place(clock.now());
+    constexpr std::size_t limit = 900;
+    std::set<std::pair<std::string, std::string>> refused;
+    for (auto e = cluster->take(); !e.dirty.empty(); e = cluster->take())
+        for (const auto& [key, urgency] : e.dirty) {
+            const auto encoded = cluster->encode(key);
+            if (!encoded) continue;
+            if (encoded->data.size() > limit) {
+                EXPECT_TRUE(refused.insert({key, encoded->data}).second) << "twice: " << key;
+                cluster->tooLarge(key, encoded->data.size());
+                continue;
+            }
+            records[key] = encoded->data;
+            cluster->committed(key, encoded->version);
+        }
+    EXPECT_FALSE(refused.empty());
+    const Job& job = *cluster->find("run-000001");
+    EXPECT_TRUE(job.accepted());
+    EXPECT_TRUE(job.layout.durable());
+    takeOver(true);
+    EXPECT_EQ(cluster->find("run-000001")->boundCount, 200U);
+}
+
+}  // namespace
+}  // namespace basaltchute::scheduler
--- a/src/scheduler/waiting.cpp
+++ b/src/scheduler/waiting.cpp
@@ -129,13 +129,15 @@
     if (waiting.empty()) return;
     const auto ordered = chains::inOrder(std::move(waiting));
     for (const auto& w : ordered) {
+        std::size_t lost = 0;
         for (const auto& need : w.needs) {
-            if (const Job* job = find(need)) {
+            if (const Job* job = find(need))
                 joinChain(*job);
-            } else {
-                spdlog::error("{} needs {}, which is not on record", w.id, need);
-            }
+            else
+                ++lost;
         }
+        if (lost > 0)
+            spdlog::error("{} needs {} jobs that are not on record: it cannot start", w.id, lost);
         Job& job = *find(w.id);
         joinChain(job);
         chains_.link(w.id, w.needs);
--- a/src/settings/operator.cpp
+++ b/src/settings/operator.cpp
@@ -35,6 +35,8 @@
     if (const auto n = json::count(*doc, "machinesPerZoneCell"))
         out.machinesPerZoneCell = static_cast<std::uint32_t>(*n);
     out.zoneLoans = json::boolean(*doc, "zoneLoans").value_or(true);
+    if (const auto n = json::count(*doc, "storedFormat"))
+        out.storedFormat = static_cast<unsigned>(*n);
     struct Room {
         std::uint64_t machines = 0, slotsPerMachine = 1, slotsWanted = 0;
     };
--- a/src/settings/operator.h
+++ b/src/settings/operator.h
@@ -21,6 +21,9 @@
     std::uint32_t machinesPerZoneCell = 2;
     /// Controllers may answer the workers of their zone in a silent leader's name.
     bool zoneLoans = true;
+    /// The newest form of the stored state that may be written: held back, the former version can
+    /// still be gone back to.
+    unsigned storedFormat = 2;
     std::vector<Reservation> reservations;
     std::map<std::string, std::uint32_t> held;  // ordinary machines kept ready, by type
 };
--- a/src/settings/settings_test.cpp
+++ b/src/settings/settings_test.cpp
@@ -46,6 +46,35 @@
     EXPECT_EQ(error(with(R"("area":"a",)", "")), "area: expected a non-empty string");
 }
 
+TEST(Settings, LimitsToComeCountFromTheStart) {
+    const auto next = [](const std::string& text) {
+        return parse(with(R"("txn_ops":20)", R"("txn_ops":20,"next":)" + text));
+    };
+    const auto all = next(R"({"write_rps":18.0,"value_kb":2.0,"txn_ops":5})");
+    ASSERT_TRUE(std::holds_alternative<Settings>(all)) << std::get<Error>(all);
+    const auto& s = std::get<Settings>(all);
+    EXPECT_EQ(s.valueBytes, 2048U);
+    EXPECT_EQ(s.valueBytesNow, 16384U);
+    EXPECT_EQ(s.txnOps, 5U);
+    EXPECT_EQ(s.stateWriteRps, 25) << "it follows what is observed";
+    EXPECT_EQ(s.stateWriteRpsNext, 18);
+    const auto larger = next(R"({"value_kb":64.0})");
+    EXPECT_EQ(std::get<Settings>(larger).valueBytes, 16384U) << "the smaller of both";
+    EXPECT_EQ(std::get<Settings>(larger).txnOps, 20U) << "each is optional";
+    const auto error = [&](const std::string& text) {
+        const auto wrong = next(text);
+        return std::holds_alternative<Error>(wrong) ? std::get<Error>(wrong) : "";
+    };
+    EXPECT_EQ(error("null"), "");
+    EXPECT_EQ(error("3"), "params.state.next: expected an object");
+    EXPECT_EQ(error(R"({"value_kb":"2"})"),
+              "params.state.next.value_kb: expected a number above 0");
+    EXPECT_EQ(error(R"({"value_kb":0.5})"), "params.state.next.value_kb: expected at least 1");
+    EXPECT_EQ(error(R"({"txn_ops":1})"), "params.state.next.txn_ops: expected at least 2");
+    EXPECT_EQ(error(R"({"write_rps":0})"),
+              "params.state.next.write_rps: expected a number above 0");
+}
+
 TEST(OperatorSettings, UnknownMembersAndImpossibleValuesAreErrorsThatNameTheField) {
     const auto platform = testing::someSettings();
     const auto error = [&](const std::string& text) {
@@ -56,6 +85,8 @@
     EXPECT_EQ(error(R"({"wieghts":{}})"), "#/wieghts: expected no such field");
     EXPECT_EQ(error(R"({"weights":{"red":-1}})").substr(0, 14), "#/weights/red:");
     EXPECT_EQ(error(R"({"weights":{"green":1}})"), "#/weights/green: expected a known team");
+    EXPECT_EQ(error(R"({"storedFormat":1})"), "");
+    EXPECT_NE(error(R"({"storedFormat":3})"), "");
     const std::string pools = R"("pools":[{"type":"box","machines":2,"slotsPerMachine":8}],)";
     EXPECT_EQ(error("{" + pools +
                     R"("reservations":[{"team":"red","type":"box","level":"machine","cells":2}]})"),
--- /dev/null
+++ b/src/state/writer_test.cpp
@@ -0,0 +1,139 @@
+#include "state/writer.h"
+
+#include <gtest/gtest.h>
+
+#include "testing/world.h"
+
+namespace basaltchute::state {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A writer against a state service with limits, and records that are as large as a test says.
+class WriterTest : public ::testing::Test {
+  protected:
+    testing::World world;
+    settings::Settings settings = testing::someSettings();
+    std::unique_ptr<lab::StateService> service;
+    std::unique_ptr<Client> client;
+    std::unique_ptr<Writer> writer;
+    std::map<std::string, std::size_t> sizes;
+    std::map<std::string, std::uint64_t> versions, durable;
+    std::map<std::string, int> encoded;
+    std::set<std::string> large;
+    int troubled = 0;
+
+    void begin(lab::StateService::Terms terms) {
+        service =
+            std::make_unique<lab::StateService>(world.loop, world.scope, "127.0.0.1:0", terms);
+        service->keys["lead/holder"] = {"{}", 1, 0};
+        settings.state = service->address();
+        client = std::make_unique<Client>(world.loop, settings);
+        writer = std::make_unique<Writer>(
+            world.loop, *client, settings.txnOps, Guard{"lead/holder", 1},
+            Writer::Hooks{
+                [this](const std::string& key) -> std::optional<Encoded> {
+                    ++encoded[key];
+                    if (sizes[key] == 0) return std::nullopt;
+                    return Encoded{'"' + std::string(sizes[key] - 2, 'x') + '"', versions[key]};
+                },
+                [this](const std::string& key, std::uint64_t v) { durable[key] = v; },
+                [this] { ++troubled; },
+                [] { FAIL() << "nobody else leads"; },
+                {},
+                [this](const std::string& key, std::size_t bytes) {
+                    EXPECT_GE(bytes, 100U);
+                    large.insert(key);
+                }});
+        world.scope.spawn(writer->run(world.scope));
+    }
+    void write(const std::string& key, std::size_t bytes, Urgency urgency = Urgency::bindings) {
+        sizes[key] = bytes;
+        ++versions[key];
+        writer->dirty(key, urgency);
+    }
+    void TearDown() override { world.end(world.scope); }
+};
+
+TEST_F(WriterTest, ARecordThatIsTooLargeHoldsUpNoOthersAndIsNotRepeated) {
+    // Before, a batch that the service called malformed was sent again and again as it was, and
+    // everything waited behind it.
+    begin({1e9, 1e9, 100, 20, {}});
+    for (int i = 0; i < 8; ++i) write("k" + std::to_string(i), i == 3 ? 101 : 50);
+    world.run(2s);
+    EXPECT_EQ(large, std::set<std::string>{"k3"});
+    EXPECT_EQ(durable.size(), 7U);
+    EXPECT_LE(encoded["k3"], 2) << "in company, and once alone";
+    EXPECT_EQ(troubled, 0) << "users are not refused for it";
+    EXPECT_EQ(writer->backlog(), 0U);
+    write("k3", 60);
+    world.run(1s);
+    EXPECT_EQ(durable["k3"], 2U);
+}
+
+TEST_F(WriterTest, TransactionsShrinkWhenTheServiceTakesFewerChangesAtOnce) {
+    begin({1e9, 1e9, 1000, 20, {}});
+    for (int i = 0; i < 40; ++i) write("k" + std::to_string(i), 50);
+    world.run(1s);
+    ASSERT_EQ(durable.size(), 40U);
+    service->lower({0, 0, 0, 3, {}});
+    for (int i = 0; i < 40; ++i) write("k" + std::to_string(i), 50);
+    world.run(3s);
+    for (const auto& [key, v] : durable) EXPECT_EQ(v, 2U) << key;
+    EXPECT_TRUE(large.empty());
+}
+
+TEST_F(WriterTest, TheRateFollowsWhatIsRefusedAndTheMostUrgentGoesFirst) {
+    settings.stateWriteRps = 25;
+    settings.stateWriteRpsNext = 18;
+    begin({1e9, 18, 1000, 20, {}});
+    for (int i = 0; i < 200; ++i) write("rest-" + std::to_string(i), 50, Urgency::progress);
+    world.run(3s);
+    write("user", 50, Urgency::users);
+    const TimePoint asked = world.clock.now();
+    world.until([&] { return durable.contains("user"); });
+    EXPECT_LT(world.clock.now() - asked, 400ms);
+    world.run(20s);
+    EXPECT_EQ(durable.size(), 201U);
+    EXPECT_EQ(troubled, 0) << "a rate is no outage: users wait for their turn";
+    EXPECT_NEAR(client->writes().rate(), 18 * 0.95, 0.01);
+    // Where no limit was announced it goes down by steps, and comes back after a while.
+    service->lower({0, 8, 0, 0, {}});
+    for (int i = 0; i < 100; ++i) write("more-" + std::to_string(i), 50, Urgency::bindings);
+    world.run(30s);
+    EXPECT_EQ(durable.size(), 301U);
+    EXPECT_LT(client->writes().rate(), 9);
+    service->lower({0, 100, 0, 0, {}});
+    for (int i = 0; i < 200; ++i) {
+        write("later", 50);
+        world.run(2s);
+    }
+    EXPECT_GT(client->writes().rate(), 20);
+}
+
+TEST_F(WriterTest, WhatIsWrittenUnderOtherKeysByNowIsLeftOut) {
+    begin({1e9, 1e9, 1000, 20, {}});
+    write("gone", 0);
+    write("there", 50);
+    world.run(1s);
+    EXPECT_EQ(durable.size(), 1U);
+    EXPECT_EQ(writer->backlog(), 0U);
+}
+
+TEST_F(WriterTest, ResultsThatNobodyWaitsForGoInGroups) {
+    begin({1e9, 1e9, 1000, 20, {}});
+    for (int i = 0; i < 14; ++i) {
+        write("array", 50, Urgency::progress);
+        world.run(100ms);
+    }
+    EXPECT_EQ(service->writes, 0);
+    world.run(400ms);
+    EXPECT_EQ(service->writes, 1);
+    write("array", 50, Urgency::progress);
+    write("array", 50, Urgency::bindings);
+    world.run(50ms);
+    EXPECT_EQ(service->writes, 2) << "the last result is waited for";
+}
+
+}  // namespace
+}  // namespace basaltchute::state
