--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -20,6 +20,7 @@
 constexpr Duration absentAfter = 5s;        // on top of the silence that ends a connection
 constexpr Duration userPatience = 4s;       // users wait for 5 s
 constexpr Duration borrowEvery = 500ms, borrowPatience = 1s;
+constexpr std::size_t shownWaiting = 100, shownNeeds = 5;
 constexpr Duration relayPatience = 3s;  // a worker drops what comes after 4 s
 
 http::Response plain(int status, const char* body) {
@@ -52,6 +53,23 @@
     return {r.method == "POST" ? Verb::withdraw : Verb::wrongMethod, rest.substr(0, slash)};
 }
 
+/// Jobs that wait for others: what for, and how much time that leaves.
+void writeWaiting(json::Out& o, const scheduler::Cluster& c, TimePoint now) {
+    o.field("held", static_cast<std::uint64_t>(c.heldJobs().size())).key("waiting").openArray();
+    std::size_t jobs = 0;
+    for (const Job* job : c.heldJobs()) {
+        if (jobs++ >= shownWaiting) break;
+        o.open().field("ref", job->spec.id).key("for").openArray();
+        std::size_t needs = 0;
+        for (const auto& id : c.chains().unmet(job->spec.id))
+            if (needs++ < shownNeeds) o.value(id);
+        o.closeArray().field("needs", static_cast<std::uint64_t>(needs));
+        if (const auto slack = c.slack(*job, now)) o.field("slackS", toSeconds(*slack));
+        o.close();
+    }
+    o.closeArray();
+}
+
 }  // namespace
 
 Controller::Controller(Loop& loop, settings::Settings settings, settings::Operator operatorSettings,
@@ -393,6 +411,7 @@
         o.field("jobs", static_cast<std::uint64_t>(c.jobCount()));
         o.field("open", static_cast<std::uint64_t>(c.openJobs().size()));
         o.field("unwritten", static_cast<std::uint64_t>(reign_->backlog()));
+        writeWaiting(o, c, loop_.now());
         o.key("cells").open();
         for (const auto& [type, pool] : c.pools()) {
             o.key(type).open();
--- a/src/app/controller_test.cpp
+++ b/src/app/controller_test.cpp
@@ -172,10 +172,15 @@
         }
     EXPECT_EQ(submit(2, "run-6", "[]"), 201);
     EXPECT_EQ(status(1, "run-4"), "pending");
+    const auto shown = ask(leader(), "GET", "/status").response.body;
+    EXPECT_NE(shown.find(R"("ref":"run-4","for":["run-3","run-1"],"needs":2})"), std::string::npos)
+        << shown;
     EXPECT_EQ(ask(2, "POST", "/v1/jobs/run-1/withdraw").response.status, 200);
     for (std::size_t node = 0; node < 3; ++node)
         for (const char* id : {"run-1", "run-2", "run-3", "run-4"})
             EXPECT_EQ(status(node, id), "cancelled") << id;
+    EXPECT_NE(ask(0, "GET", "/v1/jobs/run-4").response.body.find(R"("because":"run-1")"),
+              std::string::npos);
     EXPECT_EQ(status(0, "run-6"), "pending");
     EXPECT_EQ(ask(0, "POST", "/v1/jobs/run-3/withdraw").response.status, 200);
     // Accepted all the same, and never called pending: its user was told long ago.
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -231,7 +231,9 @@
 std::string statusText(const Job& job, const char* status) {
     json::Out o;
     o.open().field("ref", job.spec.id).field("status", status);
-    o.field("done", job.doneCount).field("running", job.runningCount).close();
+    o.field("done", job.doneCount).field("running", job.runningCount);
+    if (!job.cancelledWith.empty()) o.field("because", job.cancelledWith);
+    o.close();
     return o.text();
 }
 
--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -71,6 +71,9 @@
     /// When a job that waits for others will be released, by the same estimates; far off if that
     /// takes many stages.
     [[nodiscard]] TimePoint releaseExpected(const Job& job, TimePoint now) const;
+    /// What is left until a job that waits could not be over in time any more, by the estimates;
+    /// nothing if neither it nor what comes after it has a deadline.
+    [[nodiscard]] std::optional<Duration> slack(const Job& job, TimePoint now) const;
     /// How long before their release four of five jobs of the class are known, of late; nothing if
     /// none of them waited for others.
     [[nodiscard]] Duration foreseen(const std::string& jobClass) const;
--- a/src/scheduler/waiting.cpp
+++ b/src/scheduler/waiting.cpp
@@ -66,6 +66,12 @@
     return releaseAfter(job, now, stagesAhead);
 }
 
+std::optional<Duration> Cluster::slack(const Job& job, TimePoint now) const {
+    const TimePoint end = std::min(endsOf(job).first, job.ends.first);
+    if (end == Ends::never) return std::nullopt;
+    return end - (releaseExpected(job, now) + takes(job.spec));
+}
+
 void Cluster::foresee(const Job& job, Duration lead) {
     // Classes of which nothing ever waits are not kept.
     if (job.spec.needs.empty() && !leads_.contains(job.spec.jobClass)) return;
--- a/src/scheduler/waiting_test.cpp
+++ b/src/scheduler/waiting_test.cpp
@@ -228,6 +228,8 @@
     // 100 s less what the two after it take, and its own run.
     const Duration after = cluster->takes(job("run-3").spec) + cluster->takes(job("run-4").spec);
     EXPECT_EQ(cluster->turn(job("run-1"), clock.now()).by, clock.now() + 100s - after - 10s);
+    EXPECT_EQ(cluster->slack(job("run-4"), clock.now()),
+              100s - after - cluster->takes(job("run-1").spec));
     round();
     EXPECT_EQ(job("run-1").boundCount, 8U);
     EXPECT_EQ(job("run-2").boundCount, 0U);
