--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -76,6 +76,7 @@
     c.saveS = numberOr(v, "saveS", 0);
     c.deadlineFactor = numberOr(v, "deadlineFactor", 0);
     c.withdrawn = numberOr(v, "withdrawn", 0);
+    c.apart = numberOr(v, "apart", 0);
     for (unsigned i = 0; i < 2; ++i) {
         c.tasks.at(i) = v["tasks"][i].GetUint();
         c.runS.at(i) = v["runS"][i].GetDouble();
@@ -217,6 +218,13 @@
     for (std::size_t i = 0; i < s.swarm.kinds.size(); ++i)
         if (!isKind(s.swarm.kinds[i]))
             return fmt::format("#/swarm/kinds/{}: expected a known kind of fault", i);
+    for (std::size_t i = 0; i < s.swarm.pairs.size(); ++i)
+        for (std::size_t k = 0; k < 2; ++k)
+            if (s.swarm.pairs[i].at(k) != Swarm::anyKind && !isKind(s.swarm.pairs[i].at(k)))
+                return fmt::format("#/swarm/pairs/{}/{}: expected a known kind of fault, or \"{}\"",
+                                   i, k, Swarm::anyKind);
+    if (!s.swarm.pairs.empty() && s.swarm.toS <= s.swarm.fromS)
+        return "#/swarm/toS: expected a time after fromS, for its pairs";
     if (s.swarm.toS > s.seconds) return "#/swarm/toS: expected a time within the run";
     return "";
 }
@@ -230,7 +238,7 @@
         "state_outage",  "state_late",   "cloud_outage", "boot_trouble",    "machine_die",
         "machine_hang",  "machine_sick", "spot_taken",   "job_burst",       "site_apart",
         "node_isolated", "node_roll",    "state_limits", "machine_deaf",    "machine_restart",
-        "late_copies"};
+        "late_copies",   "node_refused", "late_writes",  "state_slow",      "commands_held"};
     return all;
 }
 
@@ -276,6 +284,9 @@
     s.swarm.toS = numberOr(swarm, "toS", 0);
     s.swarm.kinds = texts(json::array(swarm, "kinds"));
     s.swarm.most = countOr(swarm, "most", 6);
+    if (const auto* pairs = json::array(swarm, "pairs"))
+        for (const auto& p : pairs->GetArray())
+            s.swarm.pairs.push_back({p[0].GetString(), p[1].GetString()});
     if (s.swarm.kinds.empty()) {
         // What the sites have no terms for would be no trouble.
         const bool falls = std::all_of(s.sites.begin(), s.sites.end(), [](const SiteTerms& x) {
--- a/src/lab/scenario.h
+++ b/src/lab/scenario.h
@@ -18,6 +18,7 @@
     Priority priority = Priority::normal;
     double cores = 1, ramGb = 1, perMinute = 0, imageGb = 0, checkpointS = 0, saveS = 0;
     double deadlineFactor = 0, withdrawn = 0;  // 0: none
+    double apart = 0;  // its last task takes so many run times longer than its first
     std::array<std::uint32_t, 2> tasks{1, 1};
     std::array<double, 2> runS{1, 1};
     std::uint32_t initial = 0, images = 3;
@@ -76,6 +77,10 @@
     double fromS = 10, toS = 0;  // 0: none
     std::vector<std::string> kinds;
     std::uint32_t most = 6;
+    /// Drawn instead of single ones: the second of a pair begins while the first one lasts, or
+    /// shortly after it. anyKind: one of `kinds`.
+    std::vector<std::array<std::string, 2>> pairs;
+    static constexpr const char* anyKind = "any";
 };
 
 /// What is to be shown of a scenario beside the rules; 0: nothing.
--- a/src/lab/state_service.cpp
+++ b/src/lab/state_service.cpp
@@ -17,11 +17,19 @@
       terms_(terms),
       requests_(terms.rps, terms.rps, loop.now()),
       changes_(terms.writeRps, terms.writeRps, loop.now()),
-      server_(loop, address, {}, [this](http::Request r) { return handle(std::move(r)); }),
+      server_(loop, address, {}, [this](http::Request r) { return handle(std::move(r), nobody_); }),
       changed_(loop) {
     server_.start(scope);
 }
 
+void StateService::open(const std::string& address, Refuses refuses) {
+    Door& door = doors_.emplace_back(Door{std::move(refuses), nullptr});
+    door.server = std::make_unique<http::Server>(
+        loop_, address, http::ServerLimits{},
+        [this, &door](http::Request r) { return handle(std::move(r), door.refuses); });
+    door.server->start(scope_);
+}
+
 void StateService::lower(const Terms& terms) {
     if (terms.valueBytes > 0) terms_.valueBytes = terms.valueBytes;
     if (terms.txnOps > 0) terms_.txnOps = terms.txnOps;
@@ -100,7 +108,7 @@
     return {200, out.text()};
 }
 
-Task<http::Response> StateService::watch(std::string target) {
+Task<http::Response> StateService::watch(std::string target, const Refuses& refuses) {
     const auto after = std::stoull(param(target, "after"));
     ++watches;
     if (after < oldest_) co_return http::Response{410, "{}"};
@@ -114,7 +122,7 @@
     };
     std::uint64_t looked = 0;
     while (loop_.now() < until && !scope_.cancelled()) {
-        if (!down && std::exchange(looked, epoch_) != epoch_ && changed()) break;
+        if (!down && !refuses() && std::exchange(looked, epoch_) != epoch_ && changed()) break;
         co_await loop_.wait(changed_, std::min(until, loop_.now() + 50ms), scope_);
         expire();
     }
@@ -143,12 +151,12 @@
     return {200, out.text()};
 }
 
-Task<http::Response> StateService::handle(http::Request r) {
+Task<http::Response> StateService::handle(http::Request r, const Refuses& refuses) {
     const Fault f = fault ? fault(r) : Fault{};
     if (terms_.latency > Duration::zero()) co_await loop_.sleep(terms_.latency, scope_);
     if (f.kind == Fault::Kind::refused) co_return http::Response{503, R"({"error":"trouble"})"};
     if (f.kind == Fault::Kind::late) co_await loop_.sleep(f.late, scope_);
-    auto response = co_await serve(std::move(r));
+    auto response = co_await serve(std::move(r), refuses);
     if (f.kind == Fault::Kind::slow) {
         co_await loop_.sleep(f.late, scope_);
         co_return response;
@@ -158,13 +166,13 @@
     co_return response;
 }
 
-Task<http::Response> StateService::serve(http::Request r) {
+Task<http::Response> StateService::serve(http::Request r, const Refuses& refuses) {
     expire();
     if (r.target.starts_with("/watch")) {
-        auto response = co_await watch(std::move(r.target));
+        auto response = co_await watch(std::move(r.target), refuses);
         co_return response;
     }
-    if (down) co_return http::Response{503, R"({"error":"trouble"})"};
+    if (down || refuses()) co_return http::Response{503, R"({"error":"trouble"})"};
     if (!requests_.take(loop_.now())) co_return http::Response{429, R"({"error":"too many"})"};
     json::Out out;
     if (r.target == "/multi") co_return multi(r.body);
--- a/src/lab/state_service.h
+++ b/src/lab/state_service.h
@@ -1,6 +1,8 @@
 #pragma once
 #include <functional>
+#include <list>
 #include <map>
+#include <memory>
 #include <string>
 
 #include "http/server.h"
@@ -20,6 +22,9 @@
     StateService(Loop& loop, Scope& scope, const std::string& address = "127.0.0.1:0");
     StateService(Loop& loop, Scope& scope, const std::string& address, Terms terms);
     [[nodiscard]] std::string address() const { return server_.address(); }
+    /// Another address of it, for one node alone, which it refuses for as long as `refuses`: that
+    /// node cannot tell this from an outage.
+    void open(const std::string& address, std::function<bool()> refuses);
     struct Entry {
         std::string data;
         std::uint64_t stamp = 0, grant = 0;
@@ -47,11 +52,12 @@
     void endGrantOf(const std::string& key);
 
   private:
-    Task<http::Response> handle(http::Request request);
-    Task<http::Response> serve(http::Request request);
+    using Refuses = std::function<bool()>;
+    Task<http::Response> handle(http::Request request, const Refuses& refuses);
+    Task<http::Response> serve(http::Request request, const Refuses& refuses);
     http::Response multi(const std::string& body);
     http::Response list(const std::string& target);
-    Task<http::Response> watch(std::string target);
+    Task<http::Response> watch(std::string target, const Refuses& refuses);
     void expire();
     void erase(const std::string& key);
     http::Response forgetGrant(std::uint64_t id);
@@ -60,7 +66,13 @@
     Scope& scope_;
     Terms terms_;
     Budget requests_, changes_;
+    const Refuses nobody_ = [] { return false; };
     http::Server server_;
+    struct Door {
+        Refuses refuses;
+        std::unique_ptr<http::Server> server;
+    };
+    std::list<Door> doors_;  // references stay valid
     Event changed_;
     std::uint64_t epoch_ = 1, nextGrant_ = 1, erasedAt_ = 0, oldest_ = 0;
     struct Grant {
--- a/src/lab/worker.cpp
+++ b/src/lab/worker.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 constexpr Duration patience = 4s, pause = 1s, soonest = 500ms;
+constexpr double heldAtMostS = 8;  // a command that is held up
 
 const char* wordOf(TaskStatus s) {
     switch (s) {
@@ -197,16 +198,25 @@
 Task<http::Response> Worker::serve(http::Request r) {
     // Held back, and delivered when it ends.
     while (deaf() && !scope_.cancelled()) co_await loop_.sleep(deafUntil_ - now(), scope_);
-    if (r.target == "/inspect") co_return http::Response{200, report()};
-    if (r.target != "/commands") co_return http::Response{404, "{}"};
+    const bool held = now() < holdUntil_, answer = held && time_.chance(0.5);
+    const auto pause = fromSeconds(held ? time_.between(0.2, heldAtMostS) : 0);
+    if (held && !answer) co_await loop_.sleep(pause, scope_);
+    auto response = command(r);
+    if (answer) co_await loop_.sleep(pause, scope_);
+    co_return response;
+}
+
+http::Response Worker::command(const http::Request& r) {
+    if (r.target == "/inspect") return {200, report()};
+    if (r.target != "/commands") return {404, "{}"};
     const auto doc = json::parse(r.body);
     const auto token = doc ? json::count(*doc, "baton") : std::nullopt;
     const auto session = doc ? json::count(*doc, "stint") : std::nullopt;
-    if (!token || !session) co_return http::Response{400, "{}"};
-    if (*token < token_ || *session != session_) co_return http::Response{409, report()};
+    if (!token || !session) return {400, "{}"};
+    if (*token < token_ || *session != session_) return {409, report()};
     token_ = *token;
     execute(*doc);
-    co_return http::Response{200, report()};
+    return {200, report()};
 }
 
 void Worker::execute(const json::Value& answer) {
@@ -285,7 +295,9 @@
     say(Fact::Kind::on, *h);
     change();
     const std::string id = h->id();
-    double left = sick_ ? 1.0 : terms_.runS.at(spec.id) - terms_.progress[id];
+    const double place = spec.tasks > 1 ? static_cast<double>(h->task) / (spec.tasks - 1) : 0;
+    const double whole = terms_.runS.at(spec.id) * (1 + terms_.apart[spec.id] * place);
+    double left = sick_ ? 1.0 : whole - terms_.progress[id];
     if (terms_.results.contains(id)) left = 0;
     if (spec.shape == Shape::service && !sick_) co_return;  // until it is stopped
     const TimePoint until = now() + fromSeconds(std::max(left, 0.05));
--- a/src/lab/worker.h
+++ b/src/lab/worker.h
@@ -15,10 +15,11 @@
 /// What the workers of a site know alike, and what is stored outside of their machines.
 struct WorkerTerms {
     Duration report{}, lease{};
-    std::vector<std::pair<std::string, std::string>> nodes;   // name and address of controllers
-    std::map<std::string, double> progress;                   // saved seconds, by task
-    std::set<std::string> results;                            // tasks that are done
-    std::map<std::string, double> runS;                       // true run time, by job
+    std::vector<std::pair<std::string, std::string>> nodes;  // name and address of controllers
+    std::map<std::string, double> progress;                  // saved seconds, by task
+    std::set<std::string> results;                           // tasks that are done
+    std::map<std::string, double> runS;                      // true run time, by job
+    std::map<std::string, double> apart;  // how much longer its last task takes, in run times
     std::function<void(const std::string& report)> reported;  // one has left
 };
 
@@ -35,6 +36,8 @@
     void hang(Duration span) { machine_.freeze(span); }
     /// Its reports go out, but neither answers nor commands come in; what was held back does later.
     void deafen(Duration span);
+    /// Commands, or their answers, are held up for a moment each; its reports go on.
+    void holdCommands(Duration span) { holdUntil_ = std::max(holdUntil_, now() + span); }
     void recall(Duration notice);
     void setSick(bool sick) { sick_ = sick; }
     [[nodiscard]] bool gone() const { return gone_; }
@@ -58,6 +61,7 @@
     [[nodiscard]] bool deaf() const { return now() < deafUntil_; }
     Task<void> beat();
     Task<http::Response> serve(http::Request request);
+    http::Response command(const http::Request& request);
     Task<void> run(Key key, std::uint64_t serial);
     Task<void> save(Key key, std::uint64_t serial, Duration span);
     [[nodiscard]] std::string report();
@@ -88,7 +92,7 @@
     std::map<std::string, TimePoint> images_;  // by when each is there
     std::uint64_t session_ = 1, sequence_ = 0, serials_ = 0;
     Token token_ = 0;
-    TimePoint leaseEnd_{}, tokenToldAt_{}, deafUntil_{};
+    TimePoint leaseEnd_{}, tokenToldAt_{}, deafUntil_{}, holdUntil_{};
     std::optional<TimePoint> notice_;
     bool sick_ = false, gone_ = false, changed_ = false;
     std::size_t node_ = 0;
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -80,6 +80,7 @@
         e.number = json::count(*doc, "token").value_or(0);
         history_.facts.push_back(std::move(e));
     };
+    s.state->fault = [this, &s](const http::Request& r) { return stateFault(s, r); };
     s.workerTerms.reported = [this, &s](const std::string& report) {
         if (s.copiesLateS <= 0 || !time_.chance(0.3)) return;
         for (int n = time_.chance(0.3) ? 2 : 1; n > 0; --n) {
@@ -99,7 +100,8 @@
         x.zone = s.terms.zones[i % s.terms.zones.size()];
         x.listen = ip + ":8080";
         x.meshListen = ip + ":8081";
-        x.state = state;
+        x.state = fmt::format("{}1.1:{}", net, 2380 + i);
+        s.state->open(x.state, [node = n.get()] { return node->refused > 0; });
         x.cloud = cloud;
         x.zones = s.terms.zones;
         x.teams = s.terms.teams;
@@ -294,6 +296,7 @@
     j.spotAllowed = c.spot;
     const double run = time_.between(c.runS[0], c.runS[1]);
     s.workerTerms.runS[j.id] = run;
+    s.workerTerms.apart[j.id] = c.apart;
     if (c.standing) {
         wish.withdrawAfterS = run;
     } else {
@@ -332,32 +335,51 @@
     for (const auto& k : swarm.kinds)
         if (time_.chance(0.4)) on.push_back(k);
     if (on.empty()) on = swarm.kinds;
+    const auto oneOf = [&](const auto& list) {
+        return list[static_cast<std::size_t>(time_.between(0, static_cast<double>(list.size())))];
+    };
     const auto n = 1 + static_cast<std::uint32_t>(time_.between(0, swarm.most));
     for (std::uint32_t i = 0; i < n; ++i) {
-        Fault f;
-        f.kind = on[static_cast<std::size_t>(time_.between(0, static_cast<double>(on.size())))];
-        f.atS = time_.between(swarm.fromS, swarm.toS);
-        const bool ends = f.kind == "node_crash" || f.kind == "node_roll";
-        f.forS = ends ? std::exp(time_.between(std::log(0.1), std::log(10.0)))
-                      : std::exp(time_.between(std::log(0.5), std::log(45.0)));
-        f.count = 1 + static_cast<std::uint32_t>(std::exp(time_.between(0, 2.5)));
-        f.factor = time_.between(2, 8);
-        f.leader = time_.chance(0.5);
-        f.reset = time_.chance(0.5);
-        const Site& site =
-            *sites_[static_cast<std::size_t>(time_.between(0, static_cast<double>(sites_.size())))];
-        f.site = site.terms.name;
-        const auto& zones = site.terms.zones;
-        f.zone =
-            zones[static_cast<std::size_t>(time_.between(0, static_cast<double>(zones.size())))];
-        const auto& classes = site.terms.classes;
-        f.jobClass =
-            classes[static_cast<std::size_t>(time_.between(0, static_cast<double>(classes.size())))]
-                .name;
-        faults_.push_back(std::move(f));
+        if (swarm.pairs.empty()) {
+            faults_.push_back(drawn(oneOf(on)));
+            faults_.back().atS = time_.between(swarm.fromS, swarm.toS);
+            continue;
+        }
+        const auto kinds = oneOf(swarm.pairs);
+        const auto kindOf = [&](const std::string& k) {
+            return k == Swarm::anyKind ? oneOf(on) : k;
+        };
+        Fault first = drawn(kindOf(kinds[0])), second = drawn(kindOf(kinds[1]));
+        first.atS = time_.between(swarm.fromS, swarm.toS);
+        second.site = first.site;
+        // Ends are over at once; what they leave behind takes a few seconds.
+        const double open = std::max(first.forS, 3.0);
+        second.atS = std::min(swarm.toS, first.atS + time_.between(0, std::min(open, 10.0)));
+        faults_.push_back(std::move(first));
+        faults_.push_back(std::move(second));
     }
 }
 
+Fault World::drawn(const std::string& kind) {
+    Fault f;
+    f.kind = kind;
+    const bool ends = kind == "node_crash" || kind == "node_roll";
+    f.forS = ends ? std::exp(time_.between(std::log(0.1), std::log(10.0)))
+                  : std::exp(time_.between(std::log(0.5), std::log(45.0)));
+    f.count = 1 + static_cast<std::uint32_t>(std::exp(time_.between(0, 2.5)));
+    f.factor = time_.between(2, 8);
+    f.leader = time_.chance(0.5);
+    f.reset = time_.chance(0.5);
+    const auto oneOf = [&](const auto& list) -> const auto& {
+        return list[static_cast<std::size_t>(time_.between(0, static_cast<double>(list.size())))];
+    };
+    const Site& site = *oneOf(sites_);
+    f.site = site.terms.name;
+    f.zone = oneOf(site.terms.zones);
+    f.jobClass = oneOf(site.terms.classes).name;
+    return f;
+}
+
 void World::run() {
     for (std::size_t i = 0; i < faults_.size(); ++i) {
         if (kept_ && !kept_->contains(i)) continue;
@@ -407,6 +429,25 @@
     return up;
 }
 
+void World::lasts(int& count, double forS) {
+    ++count;
+    time_.after(fromSeconds(forS), [&count] { --count; });
+}
+
+StateService::Fault World::stateFault(const Site& s, const http::Request& r) {
+    using Kind = StateService::Fault::Kind;
+    if (r.target.starts_with("/watch")) return {};
+    if (s.lateWrites > 0 && r.target == "/multi" && time_.chance(0.3))
+        return {Kind::late, fromSeconds(time_.between(2, 12))};
+    if (s.stateLate > 0 && time_.chance(0.2)) {
+        const auto kind = std::array{Kind::refused, Kind::mute, Kind::late, Kind::slow};
+        return {kind.at(static_cast<std::size_t>(time_.between(0, 4))),
+                fromSeconds(time_.between(0.05, 4))};
+    }
+    if (s.stateSlow > 0) return {Kind::slow, fromSeconds(std::exp(time_.between(-4, 0.5)))};
+    return {};
+}
+
 void World::stutter(Node& n, TimePoint until) {
     if (time_.now() >= until) return;
     if (n.controller) n.machine->freeze(fromSeconds(std::exp(time_.between(-6, 1))));
@@ -461,17 +502,17 @@
         s.state->lower({s.terms.state.rps, s.terms.next.writeRps, s.terms.next.valueBytes,
                         s.terms.next.txnOps, s.terms.state.latency});
     } else if (f.kind == "state_outage") {
+        ++s.outages;
         s.state->down = true;
-        time_.at(until, [&s] { s.state->down = false; });
+        time_.at(until, [&s] { s.state->down = --s.outages > 0; });
     } else if (f.kind == "state_late") {
-        s.state->fault = [this](const http::Request& r) -> StateService::Fault {
-            using Kind = StateService::Fault::Kind;
-            if (r.target.starts_with("/watch") || !time_.chance(0.2)) return {};
-            const auto kind = std::array{Kind::refused, Kind::mute, Kind::late, Kind::slow};
-            return {kind.at(static_cast<std::size_t>(time_.between(0, 4))),
-                    fromSeconds(time_.between(0.05, 4))};
-        };
-        time_.at(until, [&s] { s.state->fault = nullptr; });
+        lasts(s.stateLate, f.forS);
+    } else if (f.kind == "state_slow") {
+        lasts(s.stateSlow, f.forS);
+    } else if (f.kind == "late_writes") {
+        lasts(s.lateWrites, f.forS);
+    } else if (f.kind == "node_refused") {
+        for (Node* n : some(s, f)) lasts(n->refused, f.forS);
     } else if (f.kind == "cloud_outage") {
         s.cloud->down = true;
         time_.at(until, [&s] { s.cloud->down = false; });
@@ -491,6 +532,8 @@
         for (Worker* w : someWorkers(s, f.count, false)) w->hang(fromSeconds(f.forS));
     } else if (f.kind == "machine_deaf") {
         for (Worker* w : someWorkers(s, f.count, false)) w->deafen(fromSeconds(f.forS));
+    } else if (f.kind == "commands_held") {
+        for (Worker* w : someWorkers(s, f.count, false)) w->holdCommands(fromSeconds(f.forS));
     } else if (f.kind == "machine_restart") {
         for (Worker* w : someWorkers(s, f.count, false))
             restart(s, *w, std::min(f.forS, time_.between(0.1, 0.6)));
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -31,6 +31,7 @@
         settings::Operator operatorSettings;
         std::unique_ptr<Machine> machine;
         std::unique_ptr<app::Controller> controller;
+        int refused = 0;  // by the state service, alone; as often as that was begun
     };
     struct Site {
         SiteTerms terms;
@@ -49,6 +50,8 @@
         std::map<std::string, double> load;  // how many times as many of a class come
         /// Reports are copied, and the copies come so late.
         double copiesLateS = 0;
+        /// Troubles of the state service that last, each as often as it was begun.
+        int outages = 0, stateLate = 0, stateSlow = 0, lateWrites = 0;
     };
     void build(Site& site);
     void start(Node& node);
@@ -63,6 +66,10 @@
     void upgrade(Site& site, Node& node);
     void restart(Site& site, Worker& worker, double backS);
     void draw(const Swarm& swarm);
+    [[nodiscard]] Fault drawn(const std::string& kind);
+    [[nodiscard]] StateService::Fault stateFault(const Site& site, const http::Request& request);
+    /// Until it is over: counted, since the same trouble may come again meanwhile.
+    void lasts(int& count, double forS);
     void apply(const Fault& fault);
     void applyTo(Site& site, const Fault& fault);
     void cutFor(const Fault& fault, Network::Between between);
--- a/src/lab/world_test.cpp
+++ b/src/lab/world_test.cpp
@@ -22,6 +22,29 @@
     return wrong == nullptr ? "" : *wrong;
 }
 
+/// Jobs that were told to be cancelled between two moments, and how many of them while their tasks
+/// were on machines and a leader elected since then led.
+struct Cancelled {
+    int told = 0, elsewhere = 0;
+};
+Cancelled cancelledElsewhere(const History& history, double fromS, double toS) {
+    Cancelled out;
+    std::map<std::string, int> on;
+    std::set<std::string> told;
+    bool successor = false;
+    for (const auto& f : history.facts) {
+        if (f.kind == Fact::Kind::on) ++on[f.job];
+        if (f.kind == Fact::Kind::off) --on[f.job];
+        if (f.kind == Fact::Kind::elected && f.at > fromS) successor = true;
+        if (f.kind != Fact::Kind::told || f.word != "cancelled" || f.at < fromS || f.at > toS)
+            continue;
+        if (!told.insert(f.job).second) continue;
+        ++out.told;
+        out.elsewhere += successor && on[f.job] > 0 ? 1 : 0;
+    }
+    return out;
+}
+
 class LabTest : public ::testing::Test {
   protected:
     spdlog::level::level_enum before = spdlog::get_level();
@@ -88,6 +111,48 @@
     }
 }
 
+Fault fault(const std::string& kind, double atS, double forS) {
+    Fault f;
+    f.kind = kind;
+    f.atS = atS;
+    f.forS = forS;
+    f.leader = true;
+    return f;
+}
+
+TEST_F(LabTest, WhatAnotherControllerCancelledIsGoneInTimeThoughEverybodyLosesTheStateService) {
+    // The leader alone loses the state service, with or without the other controllers; whoever
+    // leads then confirms cancellations; then the service is down for all, for longer than a
+    // cancellation has, while workers go on reporting to the former leader. Its lease delegation to
+    // itself, and what it lent to others, must end in time for what its successor told.
+    int told = 0, elsewhere = 0;
+    for (const char* kind : {"node_refused", "node_isolated"})
+        for (const double alone : {2.5, 5.0, 9.0, 14.0})
+            for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+                Scenario s = scenario("meetings");
+                s.swarm.toS = 0;
+                s.seconds = 130;
+                const double outage = s.sites[0].cancelS + 12;
+                for (auto& c : s.sites[0].classes)
+                    if (!c.standing) c.withdrawn = 0.9;
+                // Direct commands come late, or their answers do: tasks stay on meanwhile.
+                Fault held = fault("commands_held", 38, alone + outage);
+                held.count = 100;
+                s.faults = {held, fault(kind, 40, alone + outage),
+                            fault("state_outage", 40 + alone, outage)};
+                World world(s, seed);
+                world.run();
+                for (const auto& v : world.verdict().violations)
+                    ADD_FAILURE() << kind << ' ' << alone << ' ' << seed << ": " << v.what;
+                const auto seen = cancelledElsewhere(world.history(), 40, 40 + alone);
+                told += seen.told;
+                elsewhere += seen.elsewhere;
+            }
+    // Without these the meeting did not come about.
+    EXPECT_GT(told, 100) << "cancelled after the leader was cut off, before the outage";
+    EXPECT_GT(elsewhere, 8) << "of which by its successor, with tasks on machines";
+}
+
 TEST_F(LabTest, ChainsOfFourEndInOrderWhileNodesAreUpgradedAndAreCancelledAsAWhole) {
     // A user's way through: accepted by any node, one stage after another, one answer for all.
     Scenario s = scenario("chains");
@@ -100,36 +165,40 @@
     roll.forS = 0.3;
     roll.factor = 12;
     s.faults.push_back(roll);
-    World world(s, 4);
-    world.run();
-    for (const auto& v : world.verdict().violations) ADD_FAILURE() << v.rule << ": " << v.what;
-    std::map<std::string, double> done, cancelled;
-    std::set<std::string> withdrawn;
-    for (const auto& f : world.history().facts) {
-        if (f.kind == Fact::Kind::withdrew) withdrawn.insert(f.job);
-        if (f.kind != Fact::Kind::told || f.status != 200) continue;
-        if (f.word == "done") done.try_emplace(f.job, f.at);
-        if (f.word == "cancelled") cancelled.try_emplace(f.job, f.at);
-    }
-    const auto& jobs = world.history().jobs;
-    int inOrder = 0, together = 0;
-    for (const auto& [id, spec] : jobs) {
-        if (spec.jobClass != "close") continue;
-        // The first stage, and what needs it on the way to this job.
-        const JobId tally = spec.needs.front(), trim = jobs.at(tally).needs.front(),
-                    gather = jobs.at(trim).needs.front();
-        const std::array chain{gather, trim, tally, id};
-        const auto all = [&](const std::map<std::string, double>& told) {
-            return std::all_of(chain.begin(), chain.end(),
-                               [&](const auto& j) { return told.contains(j); });
-        };
-        // Users ask each 5 s or so: an order is sure only beyond that.
-        if (all(done) && done[gather] < done[trim] + 6 && done[trim] < done[tally] + 6 &&
-            done[tally] < done[id] + 6)
-            ++inOrder;
-        if (withdrawn.contains(gather) && all(cancelled)) ++together;
+    int together = 0;
+    for (const std::uint64_t seed : {4, 5}) {
+        World world(s, seed);
+        world.run();
+        for (const auto& v : world.verdict().violations) ADD_FAILURE() << v.rule << ": " << v.what;
+        std::map<std::string, double> done, cancelled;
+        std::set<std::string> withdrawn;
+        for (const auto& f : world.history().facts) {
+            if (f.kind == Fact::Kind::withdrew) withdrawn.insert(f.job);
+            if (f.kind != Fact::Kind::told || f.status != 200) continue;
+            if (f.word == "done") done.try_emplace(f.job, f.at);
+            if (f.word == "cancelled") cancelled.try_emplace(f.job, f.at);
+        }
+        const auto& jobs = world.history().jobs;
+        int inOrder = 0;
+        for (const auto& [id, spec] : jobs) {
+            if (spec.jobClass != "close") continue;
+            // The first stage, and what needs it on the way to this job.
+            const JobId tally = spec.needs.front(), trim = jobs.at(tally).needs.front(),
+                        gather = jobs.at(trim).needs.front();
+            const std::array chain{gather, trim, tally, id};
+            const auto all = [&](const std::map<std::string, double>& told) {
+                return std::all_of(chain.begin(), chain.end(),
+                                   [&](const auto& j) { return told.contains(j); });
+            };
+            // Users ask each 5 s or so: an order is sure only beyond that.
+            if (all(done) && done[gather] < done[trim] + 6 && done[trim] < done[tally] + 6 &&
+                done[tally] < done[id] + 6)
+                ++inOrder;
+            if (withdrawn.contains(gather) && all(cancelled)) ++together;
+        }
+        EXPECT_GT(inOrder, 8) << seed;
     }
-    EXPECT_GT(inOrder, 8);
+    // Which of the four is withdrawn is drawn: the first one of a chain is by some seed.
     EXPECT_GT(together, 0);
 }
 
@@ -172,6 +241,17 @@
         wrongIn(with(R"(,"faults":[{"atS":1,"kind":"machine_deaf","forS":-1}])")).substr(0, 16),
         "#/faults/0/forS:");
     EXPECT_EQ(wrongIn(with(R"(,"shown":{"beginS":"4 min"}})")).substr(0, 8), "not JSON");
+    const auto pairs = [&](const std::string& list, const std::string& to = "50") {
+        return wrongIn(with(R"(,"swarm":{"fromS":5,"toS":)" + to + R"(,"pairs":)" + list + "}"));
+    };
+    EXPECT_EQ(pairs(R"([["any","node_refused"]])"), "");
+    EXPECT_EQ(pairs(R"([["any","flood"]])"),
+              "#/swarm/pairs/0/1: expected a known kind of fault, or \"any\"");
+    EXPECT_EQ(pairs(R"([["node_crash"]])").substr(0, 16), "#/swarm/pairs/0:");
+    EXPECT_EQ(pairs(R"(["node_crash"])").substr(0, 16), "#/swarm/pairs/0:");
+    EXPECT_EQ(pairs(R"([["any","any"]])", "61"), "#/swarm/toS: expected a time within the run");
+    EXPECT_EQ(pairs(R"([["any","any"]])", "4"),
+              "#/swarm/toS: expected a time after fromS, for its pairs");
     EXPECT_EQ(wrongIn(with(R"(,"shown":{"beginS":"4 min"})")).substr(0, 15), "#/shown/beginS:");
     std::string large = with("");
     large.replace(large.find(R"("cores":1,"ramGb":1)"), 9, R"("cores":3)");
--- a/tools/site_variants.py
+++ b/tools/site_variants.py
@@ -129,9 +129,78 @@
         *(crash(t + 2 + s, nodes) for s in range(10)),
         fault(t + 60, "node_freeze", count=1, busiest=True, for_s=20.0),
         *(crash(t + 62 + s, nodes) for s in range(10))]
+    days.update(meetings_of(site, t, lease, nodes, zones))
     return days
 
 
+def meetings_of(site, t, lease, nodes, zones):
+    """Days on which two troubles meet while many jobs are withdrawn."""
+    cancel = site["workers"]["cancel_s"]
+
+    def cut(at, span, **which):
+        return fault(at, "node_cut", count=1, busiest=True, from_state=True, for_s=span, **which)
+
+    def refused(at, span):
+        return cut(at, span, mode="refuse")
+
+    def isolated(at, span):
+        return cut(at, span, from_peers=True, mode="hold")
+
+    def outage(at, span):
+        return fault(at, "state_outage", for_s=span)
+
+    def deaf(at, span, share=0.2):
+        return fault(at, "machine_deaf", share=share, for_s=span)
+
+    long = cancel + 12
+    second = t + long + 30
+    return {
+        # The leader alone loses the state service, then everybody does for longer than a
+        # cancellation has.
+        "meet-gap": [refused(t, 14), outage(t + 2, long), refused(second, 14),
+                     outage(second + 1.3, long)],
+        "meet-gap-isolated": [isolated(t, 14), outage(t + 4, long), isolated(second, 14),
+                              outage(second + 2.5, long)],
+        "meet-gap-short": [refused(t, 14), outage(t + 2, cancel - 3), isolated(second, 30),
+                           outage(second + 6, cancel - 3)],
+        "meet-gap-within": [outage(t, 5), refused(t + 3, 20), outage(t + 12, long),
+                            isolated(second + 20, 10), outage(second + 22, long)],
+        "meet-gap-crash": [refused(t, 14), outage(t + 2, long), crash(t + 8, 1),
+                           isolated(second, 14), outage(second + 4, long),
+                           crash(second + 12, 1)],
+        "meet-gap-zone": [isolated(t, 20), outage(t + 5, long),
+                          fault(t + 6, "zone_cut", zone=zones[0], for_s=1.3 * lease, mode="hold"),
+                          refused(second, 14), outage(second + 3, long),
+                          fault(second + 1, "zone_cut", zone=zones[-1], for_s=1.3 * lease,
+                                mode="hold")],
+        "meet-gap-deaf": [deaf(t - 5, long), isolated(t, 14), outage(t + 4, long),
+                          deaf(second - 3, 0.8 * lease), refused(second, 14),
+                          outage(second + 2, long)],
+        # What was given up arrives after what was done since.
+        "meet-late": [fault(t, "late_writes", share=0.3, for_s=150.0),
+                      fault(t, "late_reports", share=0.3, for_s=200.0),
+                      crash(t + 12, 1), crash(t + 13.4, 1), isolated(t + 40, 25),
+                      crash(t + 80, nodes), crash(t + 81.5, 2), crash(t + 110, 1)],
+        "meet-late-gap": [fault(t - 3, "late_writes", share=0.4, for_s=60.0), refused(t, 14),
+                          outage(t + 2, long), crash(t + long + 4, 1),
+                          fault(second, "late_writes", share=0.4, for_s=80.0),
+                          isolated(second + 2, 14), outage(second + 9, long)],
+        # Machines that nobody reaches, or that don't hear, over changes of the leader.
+        "meet-deaf": [deaf(t, 0.7 * lease), crash(t + 3, 1), deaf(t + 2 * lease, 2.2 * lease, 0.15),
+                      crash(t + 2.3 * lease, 1), crash(t + 2.3 * lease + 1.3, 1),
+                      fault(t + 2 * lease, "late_reports", share=0.3, for_s=100.0)],
+        "meet-held": [fault(t, "machine_hang", count=40, for_s=0.4 * lease), isolated(t + 2, 15),
+                      crash(t + 5, 1), fault(t + 60, "machine_hang", count=40, for_s=8.0),
+                      crash(t + 62, 1), fault(t + 90, "node_freeze", count=1, busiest=True,
+                                              for_s=5.0),
+                      fault(t + 91, "machine_hang", count=40, for_s=0.8 * lease),
+                      crash(t + 100, nodes)],
+        "meet-back": [crash(t + 10 * i + s, n) for i in range(6)
+                      for s, n in ((0, 1), (0.4 + 0.2 * i, 1), (0.8 + 0.3 * i, nodes))]
+                     + [fault(t, "late_writes", share=0.2, for_s=80.0)],
+    }
+
+
 def toml_value(value):
     if isinstance(value, bool):
         return str(value).lower()
@@ -148,9 +217,15 @@
         rows = [
             "  { " + ", ".join(f"{k} = {toml_value(v)}" for k, v in f.items()) + " },"
             for f in sorted(faults, key=lambda f: f["at_s"])]
+        jobs = ""
+        if name.startswith("meet-"):
+            # Many are withdrawn, and what they run lasts.
+            arrays = [j["name"] for j in site["jobs"] if j["kind"] == "array"]
+            long_runs = "{median = 130.0, p95 = 165.0, max = 190.0}"
+            jobs = f'jobs = [{{name = "{arrays[0]}", cancelled = 0.6, run_s = {long_runs}}}]\n'
         (out / f"{name}.toml").write_text(
-            f'[[day]]\nname = "{name}"\nslot = "scale"\nlight = false\nseed = {seed}\nfaults = [\n'
-            + "\n".join(rows) + "\n]\n")
+            f'[[day]]\nname = "{name}"\nslot = "scale"\nlight = false\nseed = {seed}\n{jobs}'
+            "faults = [\n" + "\n".join(rows) + "\n]\n")
 
 
 def main():
