An answer of the state service that cannot be true is no answer

A revision that goes back, a key that was not asked for, a conflict that names nothing: one line in the log, and the verdict is unknown. The test's stand-in gave two changes one revision, which no service does; it counts now.

--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -78,6 +78,16 @@
     }
 }
 
+bool Client::plausible(Revision at, Revision since, const std::string& about) {
+    if (at < since) {
+        spdlog::error("state service: an answer about {} is of revision {}, after {}: not heeded",
+                      about, at, since);
+        return false;
+    }
+    newest_ = std::max(newest_, at);
+    return true;
+}
+
 Task<http::Outcome> Client::send(http::Request request, Duration wait, Scope& scope) {
     // A refusal that only this node gets, or a cut that only it suffers, looks like an outage:
     // a peer may still reach the service.
@@ -134,6 +144,7 @@
     for (const auto& key : txn.deletes) out.open().field("delete", key).close();
     out.closeArray().close();
     http::Request request{"POST", "/multi", out.text()};
+    const Revision since = newest_;
     auto o = co_await send(std::move(request), patience, scope);
     Committed result;
     result.verdict = verdictOf(o);
@@ -141,13 +152,20 @@
     if (!o.answered || (o.response.status != 200 && o.response.status != 409)) co_return result;
     const auto doc = json::parse(o.response.body);
     const auto epoch = doc ? json::count(*doc, "epoch") : std::nullopt;
-    if (!epoch) {
+    const bool changed =
+        result.verdict == Verdict::ok && !(txn.puts.empty() && txn.deletes.empty());
+    const auto* failed = doc ? json::array(*doc, "failed") : nullptr;
+    if (!epoch || (result.verdict == Verdict::conflict && failed == nullptr)) {
         spdlog::warn("state service: malformed answer to a transaction");
         result.verdict = Verdict::unknown;
         co_return result;
     }
+    if (!plausible(*epoch, since + (changed ? 1 : 0), "a transaction")) {
+        result.verdict = Verdict::unknown;
+        co_return result;
+    }
     result.revision = *epoch;
-    if (const auto* failed = json::array(*doc, "failed"))
+    if (failed != nullptr)
         for (const auto& k : failed->GetArray())
             if (k.IsString()) result.failed.emplace_back(k.GetString());
     co_return result;
@@ -155,15 +173,23 @@
 
 Task<Found> Client::get(std::string key, Scope& scope) {
     http::Request request{"GET", "/keys/" + key, ""};
+    const Revision since = newest_;
     auto o = co_await send(std::move(request), patience, scope);
     Found found;
     found.verdict = verdictOf(o);
     if (!o.answered || (o.response.status != 200 && o.response.status != 404)) co_return found;
     const auto doc = json::parse(o.response.body);
     if (doc && found.verdict == Verdict::ok) found.item = itemOf(*doc);
-    if (doc && found.verdict == Verdict::notFound)
-        found.at = json::count(*doc, "epoch").value_or(0);
-    if (found.verdict == Verdict::ok && !found.item) found.verdict = Verdict::unknown;
+    if (found.verdict == Verdict::notFound) {
+        const auto epoch = doc ? json::count(*doc, "epoch") : std::nullopt;
+        if (!epoch || !plausible(*epoch, since, key)) found.verdict = Verdict::unknown;
+        found.at = epoch.value_or(0);
+    }
+    if (found.verdict == Verdict::ok && (!found.item || found.item->key != key)) {
+        spdlog::error("state service: malformed answer about {}", key);
+        found.verdict = Verdict::unknown;
+        found.item.reset();
+    }
     if (found.item) found.at = found.item->revision;
     co_return found;
 }
@@ -174,19 +200,22 @@
     while (true) {
         http::Request request{"GET", "/keys?under=" + prefix + "&page=1000", ""};
         if (!after.empty()) request.target += "&after=" + after;
+        const Revision since = newest_;
         auto o = co_await send(std::move(request), 4s, scope);
         all.verdict = verdictOf(o);
         if (all.verdict != Verdict::ok) co_return all;
         const auto doc = json::parse(o.response.body);
         const auto* pairs = doc ? json::array(*doc, "pairs") : nullptr;
         const auto more = doc ? json::boolean(*doc, "truncated") : std::nullopt;
-        if (pairs == nullptr) {
+        const auto epoch = doc ? json::count(*doc, "epoch") : std::nullopt;
+        if (pairs == nullptr || !epoch || !plausible(*epoch, since, prefix)) {
             all.verdict = Verdict::unknown;
             co_return all;
         }
         for (const auto& p : pairs->GetArray()) {
             auto item = itemOf(p);
-            if (!item) {
+            if (!item || !item->key.starts_with(prefix) || item->key <= after ||
+                item->revision > *epoch) {
                 spdlog::error("state service: malformed item under {}", prefix);
                 all.verdict = Verdict::unknown;
                 co_return all;
@@ -194,7 +223,7 @@
             after = item->key;
             all.items.push_back(std::move(*item));
         }
-        all.at = json::count(*doc, "epoch").value_or(0);
+        all.at = *epoch;
         if (!more.value_or(false) || pairs->Empty()) co_return all;
     }
 }
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -85,12 +85,16 @@
   private:
     Task<http::Outcome> send(http::Request request, Duration patience, Scope& scope);
     Task<void> probe(Scope& scope);
+    /// Whether an answer to what was asked when the store was at `since` can be true: the store
+    /// goes forward only. What cannot is one line in the log, and no answer.
+    bool plausible(Revision at, Revision since, const std::string& about);
     /// Follows the rate that the service takes, which may fall at any time.
     void adapt(Verdict verdict);
     Loop& loop_;
     http::Client http_;
     Budget requests_, writes_;
     double mostWrites_, nextWrites_;  // a second: by the settings, now and some day
+    Revision newest_ = 0;             // of the store, as far as it has said
     TimePoint limitedAt_{};
     Relay relay_;
     /// Requests go over a peer. What finds out whether the own way works again is a question that
--- a/src/state/client_test.cpp
+++ b/src/state/client_test.cpp
@@ -12,10 +12,14 @@
 TEST(StateClient, OverAPeerNoWriteWaitsForTheOwnWayAndItIsFoundAgain) {
     testing::World world;
     bool cut = false;
-    int relayed = 0;
+    int relayed = 0, epoch = 1;
+    // No two changes are of one revision.
+    const auto changed = [&] {
+        return http::Response{200, R"({"epoch":)" + std::to_string(++epoch) + '}'};
+    };
     http::Server way(world.loop, "127.0.0.1:0", {}, [&](http::Request) -> Task<http::Response> {
         if (cut) co_await world.loop.sleep(1h, world.scope);
-        co_return http::Response{200, R"({"epoch":2})"};
+        co_return changed();
     });
     way.start(world.scope);
     auto settings = testing::someSettings();
@@ -23,7 +27,7 @@
     Client client(world.loop, settings);
     client.setRelay([&](http::Request, Duration, Scope&) -> Task<http::Outcome> {
         ++relayed;
-        co_return http::Outcome{true, true, {200, R"({"epoch":2})"}};
+        co_return http::Outcome{true, true, changed()};
     });
     const auto write = [&] {
         bool done = false;
@@ -58,5 +62,75 @@
     world.end(world.scope);
 }
 
+TEST(StateClient, AnAnswerThatCannotBeTrueIsNoAnswer) {
+    testing::World world;
+    http::Response answer;
+    http::Server way(world.loop, "127.0.0.1:0", {},
+                     [&](http::Request) -> Task<http::Response> { co_return answer; });
+    way.start(world.scope);
+    auto settings = testing::someSettings();
+    settings.state = way.address();
+    Client client(world.loop, settings);
+    bool done = false;
+    const auto commit = [&](int status, const std::string& body) {
+        answer = {status, body};
+        Verdict verdict{};
+        done = false;
+        world.loop.spawn([](Client& c, Scope& scope, Verdict& out, bool& flag) -> Task<void> {
+            Transaction txn;
+            txn.guards = {{"a", 3}};
+            txn.puts = {{"a", "{}", std::nullopt}};
+            const auto committed = co_await c.commit(std::move(txn), scope);
+            out = committed.verdict;
+            flag = true;
+        }(client, world.scope, verdict, done));
+        world.until([&] { return done; });
+        return verdict;
+    };
+    const auto get = [&](int status, const std::string& body) {
+        answer = {status, body};
+        Verdict verdict{};
+        done = false;
+        world.loop.spawn([](Client& c, Scope& scope, Verdict& out, bool& flag) -> Task<void> {
+            const auto found = co_await c.get("a", scope);
+            out = found.verdict;
+            flag = true;
+        }(client, world.scope, verdict, done));
+        world.until([&] { return done; });
+        return verdict;
+    };
+    const auto list = [&](const std::string& body) {
+        answer = {200, body};
+        Verdict verdict{};
+        done = false;
+        world.loop.spawn([](Client& c, Scope& scope, Verdict& out, bool& flag) -> Task<void> {
+            const auto listing = co_await c.list("jobs/", scope);
+            out = listing.verdict;
+            flag = true;
+        }(client, world.scope, verdict, done));
+        world.until([&] { return done; });
+        return verdict;
+    };
+    const auto listed = [](const std::string& key, int stamp) {
+        return R"({"pairs":[{"key":")" + key + R"(","data":{},"stamp":)" + std::to_string(stamp) +
+               R"(}],"truncated":false,"epoch":12})";
+    };
+    EXPECT_EQ(commit(200, R"({"epoch":10})"), Verdict::ok);
+    EXPECT_EQ(commit(200, R"({"epoch":10})"), Verdict::unknown) << "a change has a new revision";
+    EXPECT_EQ(commit(409, R"({"failed":["a"],"epoch":9})"), Verdict::unknown);
+    EXPECT_EQ(commit(409, R"({"epoch":11})"), Verdict::unknown) << "what failed is not said";
+    EXPECT_EQ(commit(409, R"({"failed":["a"],"epoch":11})"), Verdict::conflict);
+    EXPECT_EQ(get(404, R"({"epoch":10})"), Verdict::unknown);
+    EXPECT_EQ(get(404, "{}"), Verdict::unknown);
+    EXPECT_EQ(get(404, R"({"epoch":11})"), Verdict::notFound);
+    EXPECT_EQ(get(200, R"({"key":"b","data":{},"stamp":4})"), Verdict::unknown);
+    EXPECT_EQ(get(200, R"({"key":"a","data":{},"stamp":4})"), Verdict::ok);
+    EXPECT_EQ(list(listed("jobs/x", 4)), Verdict::ok);
+    EXPECT_EQ(list(listed("other/x", 4)), Verdict::unknown);
+    EXPECT_EQ(list(listed("jobs/x", 13)), Verdict::unknown) << "newer than the store";
+    EXPECT_EQ(list(R"({"pairs":[],"truncated":false,"epoch":11})"), Verdict::unknown);
+    world.end(world.scope);
+}
+
 }  // namespace
 }  // namespace basaltchute::state
