A result of an earlier attempt does not hide where the next one may be

By reading: a report that was held back brought the result of an attempt that was given up, while the next one was on a machine. The record then said done and no machine, so a successor counted the task in no limit and no zone, and could tell that the job is cancelled while it was on. It counts once no other attempt may be on a machine; that one ends with the result as soon as it has its image.

A job whose record cannot be read is known, and no more: it was skipped, and got 404.

--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -40,6 +40,9 @@
     /// All records under both prefixes of jobs, in any order; false if this one is malformed.
     bool load(const std::string& key, const std::string& data, TimePoint now, WallMillis wall);
     void loaded(TimePoint now);
+    /// Something stands about that job that cannot be read: it is known, and no more than that. No
+    /// task of it starts, and nobody is told that it is not there.
+    [[nodiscard]] bool unreadable(const JobId& id) const { return unreadable_.contains(id); }
     /// Nothing if what it held is to be written under other keys, or cannot be written now.
     [[nodiscard]] std::optional<state::Encoded> encode(const std::string& key);
     void committed(const std::string& key, std::uint64_t version);
@@ -298,6 +301,7 @@
     std::map<std::string, std::deque<Duration>> leads_;  // by class, of the last few jobs
     /// Records by key that were read before what they belong to; they are applied in the end.
     std::map<std::string, std::string> read_;
+    std::set<JobId> unreadable_;
     std::size_t valueBytes_;           // what a value is to fit into
     bool parted_ = false;              // every reader knows parts
     std::set<std::string> oversized_;  // keys that wait for that
--- a/src/scheduler/cluster_test.cpp
+++ b/src/scheduler/cluster_test.cpp
@@ -179,6 +179,53 @@
     EXPECT_EQ(cluster->machines()[job.tasks[0].machine].name, "n-2");
 }
 
+TEST_F(ClusterTest, AnEarlierAttemptsResultDoesNotHideWhereTheNextOneMayBe) {
+    // A report that was held back brings the result of an attempt that was given up, while the next
+    // one is on a machine. Called done, its record no longer said where: a successor counted it
+    // nowhere, and told that the job is cancelled as if nothing of it were left.
+    Worker w("n-1"), other("n-2");
+    Job& job = running(w, testing::spec("run-1"));
+    clock.advance(20s);
+    exchange(other);
+    cluster->expire(clock.now());
+    place();
+    commit();
+    exchange(other);
+    exchange(other);
+    ASSERT_EQ(other.report.tasks.size(), 1U);
+    w.set(0, TaskStatus::exited, ExitCause::done);
+    beat(w);
+    commit();
+    EXPECT_EQ(job.doneCount, 0U);
+    takeOver();
+    Job& known = *cluster->find("run-1");
+    EXPECT_EQ(known.boundCount, 1U);
+    EXPECT_FALSE(known.perZone.empty()) << "it may be on n-2";
+    other.set(0, TaskStatus::exited, ExitCause::done);
+    beat(other);
+    EXPECT_EQ(known.doneCount, 1U);
+}
+
+TEST_F(ClusterTest, AJobWhoseRecordCannotBeReadIsKnownAndStartsNothing) {
+    submit(testing::spec("run-1"));
+    submit(testing::spec("run-2"));
+    cluster = make(6);
+    for (const auto& [key, data] : records) {
+        const bool first = key.find("run-1") != std::string::npos;
+        EXPECT_EQ(cluster->load(key, first ? R"({"spec":7})" : data, clock.now(), clock.wall()),
+                  !first);
+    }
+    cluster->loaded(clock.now());
+    EXPECT_TRUE(cluster->unreadable("run-1"));
+    EXPECT_FALSE(cluster->unreadable("run-2"));
+    EXPECT_FALSE(cluster->unreadable("run-3"));
+    Worker w("n-1");
+    exchange(w);
+    place();
+    EXPECT_EQ(cluster->find("run-1"), nullptr);
+    EXPECT_EQ(cluster->find("run-2")->boundCount, 1U);
+}
+
 TEST_F(ClusterTest, ForgetsAResultOnlyOnceItStands) {
     Worker w("n-1");
     Job& job = running(w, testing::spec("run-1"));
--- a/src/scheduler/records.cpp
+++ b/src/scheduler/records.cpp
@@ -35,13 +35,18 @@
     now_ = now;
     wall_ = wall;
     const auto name = RecordName::of(key);
+    if (!name) return false;
     const auto doc = json::parse(data);
-    if (!name || !doc || !doc->IsObject()) return false;
+    const auto bad = [&] {
+        unreadable_.insert(name->job);
+        return false;
+    };
+    if (!doc || !doc->IsObject()) return bad();
     const bool first = name->kind == Kind::block && name->from == 0;
     Job* job = first ? nullptr : find(name->job);
     if (first && !jobs::textsOf(*doc)) {
         auto made = jobs::decodeJob(*doc, "", valueBytes_);
-        if (made == nullptr || made->spec.id != name->job) return false;
+        if (made == nullptr || made->spec.id != name->job) return bad();
         job = &add(std::move(made));
     }
     // What is in parts comes after all that is whole; the rest of a job after the job itself.
@@ -49,8 +54,9 @@
         read_[key] = data;
         return true;
     }
-    return jobs::decodeTasks(*doc, *name, *job,
-                             [&](const std::string& n) { return machines_.indexOf(n); });
+    const bool well = jobs::decodeTasks(*doc, *name, *job,
+                                        [&](const std::string& n) { return machines_.indexOf(n); });
+    return well || bad();
 }
 
 void Cluster::restore() {
@@ -73,7 +79,8 @@
             }
             auto made = jobs::decodeJob(doc, description, valueBytes_);
             if (made == nullptr || made->spec.id != name.job) {
-                spdlog::error("record {} is malformed and was skipped", key);
+                spdlog::error("record {} is malformed", key);
+                unreadable_.insert(name.job);
                 continue;
             }
             add(std::move(made));
@@ -94,10 +101,13 @@
             } else if (!jobs::decodeTasks(doc, name, *job, [&](const std::string& n) {
                            return machines_.indexOf(n);
                        })) {
-                spdlog::error("record {} is malformed and was skipped", name.key());
+                spdlog::error("record {} is malformed", name.key());
+                unreadable_.insert(name.job);
             }
         }
     }
+    // Half of what stands about a job could start its tasks a second time.
+    for (const auto& id : unreadable_) jobs_.erase(id);
 }
 
 void Cluster::loaded(TimePoint now) {
--- a/src/scheduler/reports.cpp
+++ b/src/scheduler/reports.cpp
@@ -82,8 +82,13 @@
             double& bias = bias_[job->spec.jobClass];
             bias += 0.1 * (std::clamp(std::log(ran / job->spec.estimateS), -2.0, 2.0) - bias);
         }
-        // A result is a result, whichever attempt brought it.
-        finish(*job, t.task);
+        // A result is a result, whichever attempt brought it: but not while another attempt may
+        // be on another machine. The record would say no more where, and a successor would neither
+        // count it nor wait for its end. It ends by itself as soon as it has its image.
+        const Charge* other = task.state == TaskState::bound && task.attempt != t.attempt
+                                  ? machines_[task.machine].charge(*job, t.task, task.attempt)
+                                  : nullptr;
+        if (other == nullptr || !other->sent) finish(*job, t.task);
     }
     if (c == nullptr) return;
     if (c->directUnknown || c->directPending) m.keep.emplace(t.job, t.task, t.attempt);
