The silent former leader is listed as absent with the election itself; isolated nodes say so; terms end for good

The successor's right cannot be stretched while the former leader's pledge is missing, and it went on record only 8 s after its last word. It is put there by the campaign's own transaction now, and later ones 2 s after their last word.

A node without state service, other controllers and leadership answered /up with 200 for as long as that lasted. A request of an earlier leadership of the same process asks for that one's right. What is learnt goes on record by the writer, guarded by its key's last revision: it was not.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -17,7 +17,7 @@
 constexpr Duration pledgePatience = 500ms;
 constexpr Duration statePatience = 500ms;   // on behalf of a peer
 constexpr Duration workerPatience = 600ms;  // likewise; less than the peer waits for this node
-constexpr Duration absentAfter = 5s;        // on top of the silence that ends a connection
+constexpr Duration absentAfter = 8s;        // then its version is not waited for
 constexpr Duration userPatience = 4s;       // users wait for 5 s
 constexpr Duration borrowEvery = 500ms, borrowPatience = 1s;
 constexpr std::size_t shownWaiting = 100, shownNeeds = 5;
@@ -115,7 +115,7 @@
                return mesh_.pledgeAll({token, ms}, absent, pledgePatience, scope_);
            },
            [this](const std::string& node) { return idlePeers_.contains(node); },
-           [this] { return mesh_.silentFor(absentAfter); }}),
+           [this](Duration span) { return mesh_.silentFor(span); }}),
       mesh_(loop, settings_,
             {[this, incarnation] {
                  const auto known = leadership_.known();
@@ -291,14 +291,14 @@
         default:
             co_return plain(404, "{}");
     }
-    if (!leadership_.mayAct()) co_return noLeader();
+    if (!reign->acts()) co_return noLeader();
     co_return response;
 }
 
 std::optional<http::Response> Controller::leaderBeat(Reign& reign, const workers::Report& report) {
     if (report.token > leadership_.token())
         leadership_.stepDown("a worker has seen a higher token");
-    if (!leadership_.mayAct()) return std::nullopt;
+    if (!reign.acts()) return std::nullopt;
     return reign.beat(report);
 }
 
@@ -396,7 +396,12 @@
     // A moment without a leader must not cost this node its users: taking it back takes the
     // load balancer longer than an election. Without a leader anywhere, all nodes are alike.
     const bool othersServe = leadership_.stateAnswers() && known && !reachable;
-    if (othersServe && loop_.now() - leaderSeen_ > 4s) return plain(503, "{}");
+    // Cut off from everything but its users: whoever keeps a connection to it would be refused for
+    // as long as that lasts, and their jobs would be forgotten.
+    const bool isolated = !reachable && !leadership_.stateAnswers() && !settings_.peers.empty() &&
+                          std::none_of(settings_.peers.begin(), settings_.peers.end(),
+                                       [&](const auto& p) { return mesh_.connected(p.name); });
+    if ((othersServe || isolated) && loop_.now() - leaderSeen_ > 4s) return plain(503, "{}");
     return plain(200, "{}");
 }
 
--- a/src/app/controller_test.cpp
+++ b/src/app/controller_test.cpp
@@ -355,7 +355,8 @@
         world.loop, client, settings, "x",
         {[&](Token, state::Guard) { elected = true; }, []() -> Task<void> { co_return; },
          [](Token, Duration, const std::set<std::string>&) -> Task<bool> { co_return false; },
-         [](const std::string&) { return false; }, [] { return std::set<std::string>{}; }});
+         [](const std::string&) { return false; },
+         [](Duration) { return std::set<std::string>{}; }});
     scope.spawn(other.run(scope));
     world.run(5s);
     EXPECT_TRUE(other.pledge(1, 3s));
@@ -388,6 +389,48 @@
     EXPECT_EQ(token(), 1U) << "nobody had to take over";
 }
 
+TEST_F(ControllerTest, AFormerLeaderThatIsSilentIsNotNeededInAnOutageRightAfterTheElection) {
+    // Its pledge was missing until it had been on record for being silent, 8 s later: an outage
+    // before that ended the successor's right, and 1,862 tasks were killed by their lease on a day
+    // on which the leader was cut off and everybody lost the state service 4 s later.
+    start(3);
+    const std::size_t former = leader();
+    kill(former);
+    world.until([&] { return leader() < nodes.size() && leader() != former; });
+    const std::size_t successor = leader();
+    ASSERT_LT(successor, nodes.size());
+    EXPECT_EQ(state.keys.at("lead/absent").data,
+              R"({"nodes":["rig-)" + std::to_string(former) + R"("]})");
+    world.run(300ms);
+    state.down = true;
+    for (int s = 0; s < 20; ++s) {
+        world.run(1s);
+        EXPECT_EQ(ask(successor, "GET", "/v1/jobs/run-9").response.status, 404) << s;
+    }
+    state.down = false;
+    launch(*nodes[former]);
+    world.run(3s);
+    EXPECT_EQ(token(), 2U) << "nobody had to take over";
+    EXPECT_EQ(state.keys.at("lead/absent").data, R"({"nodes":[]})") << "it is back";
+}
+
+TEST_F(ControllerTest, ANodeThatIsCutOffFromAllButItsUsersSaysThatItCannotServe) {
+    // It called itself healthy for as long as that lasted: whoever kept a connection to it was
+    // refused all the time, and their jobs counted as forgotten.
+    start(3);
+    state.down = true;
+    world.run(8s);
+    for (std::size_t i = 0; i < 3; ++i)
+        EXPECT_EQ(ask(i, "GET", "/up").response.status, 200) << "all are alike in an outage";
+    for (std::size_t i = 1; i < 3; ++i) kill(i);
+    world.run(8s);
+    EXPECT_EQ(ask(0, "GET", "/up").response.status, 503);
+    EXPECT_EQ(ask(0, "GET", "/v1/jobs/run-9").response.status, 503);
+    state.down = false;
+    world.run(6s);
+    EXPECT_EQ(ask(0, "GET", "/up").response.status, 200) << "it leads now";
+}
+
 TEST_F(ControllerTest, ANodeOnRecordAsAbsentDoesNotCampaign) {
     // A leader may act by the pledges of the others alone.
     state.keys["lead/absent"] = {R"({"nodes":["rig-0"]})", 1, 0};
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -17,7 +17,7 @@
 constexpr Duration planEvery = 1s, planGather = 250ms;
 constexpr Duration tick = 250ms;
 constexpr Duration gather = 10ms;
-const std::string experienceKey = "fleet/experience";
+const std::string experienceKey = "fleet/experience", experiencePrefix = experienceKey + '/';
 constexpr Duration experienceEvery = 60s;
 constexpr unsigned partedFormat = 2;  // of the stored state, with chains and records in parts
 constexpr std::size_t slice = 64;     // tasks placed before others get their turn
@@ -49,9 +49,8 @@
       lender_(loans::Terms::of(settings), leadership.token(), {settings.node, settings.zone},
               hooks.sinceUse, othersOf(settings), loop.now()),
       cluster_(settings, leadership.token()),
-      guard_(std::move(guard)),
-      writer_(loop, state, settings.txnOps, guard_,
-              {[this](const std::string& key) { return cluster_.encode(key); },
+      writer_(loop, state, settings.txnOps, std::move(guard),
+              {[this](const std::string& key) { return encode(key); },
                [this](const std::string& key, std::uint64_t version) {
                    cluster_.committed(key, version);
                    written_.notify();
@@ -65,7 +64,7 @@
                    cluster_.tooLarge(key, bytes);
                    kick();
                }}),
-      cloud_(loop, settings, [this] { return leadership_.mayAct(); }),
+      cloud_(loop, settings, [this] { return acts(); }),
       fleet_(cluster_, loop.now()),
       reach_(loop, settings.directSockets(), std::move(hooks.detour)),
       onLoaded_(std::move(hooks.loaded)),
@@ -94,7 +93,7 @@
         for (const auto* items : {&all.items, &parts.items})
             for (const auto& item : *items) {
                 if (!cluster_.load(item.key, item.data, loop_.now(), loop_.clock().wall()))
-                    spdlog::error("record {} is malformed and was skipped", item.key);
+                    spdlog::error("record {} is malformed", item.key);
                 writer_.known(item.key, item.revision);
             }
         cluster_.loaded(loop_.now());
@@ -128,7 +127,7 @@
     if (leadership_.format() < partedFormat) {
         // A node that does not know it might lead next, and would lose what it cannot read.
         if (cluster_.operatorSettings().storedFormat < partedFormat || !allKnow_(partedFormat) ||
-            !leadership_.mayAct())
+            !acts())
             co_return false;
         const bool stands = co_await leadership_.raiseFormat(partedFormat, scope_);
         if (!stands || scope_.cancelled()) co_return false;
@@ -152,7 +151,7 @@
         if (scope_.cancelled()) break;
         dirty_ = false;
         // The process may have stood still: what is decided without the right is never done.
-        if (!leadership_.mayAct()) {
+        if (!acts()) {
             co_await loop_.sleep(tick, scope_);
             continue;
         }
@@ -176,7 +175,7 @@
         if (orders.empty()) co_return;
         const workers::Machine& m = cluster_.machines()[machine];
         workers::Reach::Reached reached;
-        if (leadership_.mayAct()) {
+        if (acts()) {
             http::Request request{"POST", "/commands",
                                   workers::directOrders(cluster_.token(), m.session, orders)};
             workers::Reach::Target to = target(machine);
@@ -255,7 +254,7 @@
         // over a peer, which was too much for it, had 140 sound ones given up.
         for (const MachineIndex machine : plan.sweep)
             if (!reach_.cut(cluster_.machines()[machine].zone)) scope_.spawn(ask(machine));
-        if (!plan.remove.empty() && leadership_.mayAct()) {
+        if (!plan.remove.empty() && acts()) {
             const TimePoint asked = loop_.now();
             const bool gone = co_await cloud_.remove(plan.remove, scope_);
             if (scope_.cancelled()) co_return;
@@ -288,9 +287,17 @@
 Task<void> Reign::recallExperience() {
     // A record for each type; one for all of them is what versions before wrote.
     const auto found = co_await state_.list(experienceKey, scope_);
-    for (const auto& item : found.items)
+    for (const auto& item : found.items) {
+        writer_.known(item.key, item.revision);
         if (!fleet_.experience().decode(item.data))
             spdlog::error("record {} is malformed and was skipped", item.key);
+    }
+}
+
+std::optional<state::Encoded> Reign::encode(const std::string& key) {
+    if (!key.starts_with(experiencePrefix)) return cluster_.encode(key);
+    const std::string type = key.substr(experiencePrefix.size());
+    return state::Encoded{fleet_.experience().encode(type, settings_.valueBytes), 0};
 }
 
 Task<void> Reign::keepExperience() {
@@ -298,24 +305,15 @@
         const Wake woke = co_await loop_.sleep(experienceEvery, scope_);
         if (woke == Wake::cancelled) co_return;
         const auto& changed = fleet_.experience().changed();
-        if (changed.empty() || !leadership_.mayAct()) continue;
-        // Not worth a retry: the next one holds more. A late one of a former leader is refused.
-        state::Transaction txn;
-        txn.guards = {guard_};
-        while (!changed.empty() && txn.puts.size() < settings_.txnOps) {
-            const std::string type = *changed.begin();
-            std::string key = experienceKey + '/' + type;
-            std::string text = fleet_.experience().encode(type, settings_.valueBytes);
-            if (state::validKey(key))
-                txn.puts.push_back({std::move(key), std::move(text), std::nullopt});
-        }
-        if (!txn.puts.empty()) co_await state_.commit(std::move(txn), scope_);
+        for (const auto& type : changed)
+            if (const std::string key = experiencePrefix + type; state::validKey(key))
+                writer_.dirty(key, state::Urgency::progress);
     }
 }
 
 Task<void> Reign::rent(fleet::Rent wanted) {
     fleet::Cloud::Rented result;
-    if (leadership_.mayAct()) result = co_await cloud_.rent(wanted, scope_);
+    if (acts()) result = co_await cloud_.rent(wanted, scope_);
     if (scope_.cancelled()) co_return;
     if (result.answer == fleet::Cloud::Answer::ok)
         fleet_.rented(wanted, result.names, loop_.now());
@@ -336,11 +334,11 @@
     while (!fact()) {
         // What the state service does not take now is refused now: the user is told when to
         // come back, and finds the job waiting for its turn.
-        if (!writer_.healthy() || loop_.now() >= until || !leadership_.mayAct()) co_return false;
+        if (!writer_.healthy() || loop_.now() >= until || !acts()) co_return false;
         const Wake woke = co_await loop_.wait(written_, until, scope_);
         if (woke == Wake::cancelled) co_return false;
     }
-    co_return leadership_.mayAct();
+    co_return acts();
 }
 
 Task<std::optional<http::Response>> Reign::refuseNeeds(const JobSpec& spec) {
@@ -372,11 +370,13 @@
     if (auto* why = std::get_if<std::string>(&parsed)) co_return refuse(400, *why);
     if (!ready()) co_return later();
     const JobSpec& spec = std::get<JobSpec>(parsed);
+    if (cluster_.unreadable(spec.id)) co_return later();
     Job* job = cluster_.find(spec.id);
     bool fresh = false;
     if (job == nullptr) {
         if (cluster_.catalogue().empty()) co_return later();
         auto refused = co_await refuseNeeds(spec);
+        if (!acts()) co_return later();
         if (refused) co_return std::move(*refused);
         if (!ready()) co_return later();
         switch (cluster_.submit(spec, loop_.now(), loop_.clock().wall())) {
@@ -407,7 +407,7 @@
 }
 
 Task<http::Response> Reign::query(JobId id) {
-    if (!ready()) co_return later();
+    if (!ready() || cluster_.unreadable(id)) co_return later();
     Job* job = cluster_.find(id);
     if (job == nullptr) co_return refuse(404, "no such job");
     if (!job->accepted()) co_return later();
@@ -422,7 +422,7 @@
 }
 
 Task<http::Response> Reign::withdraw(JobId id) {
-    if (!ready()) co_return later();
+    if (!ready() || cluster_.unreadable(id)) co_return later();
     Job* job = cluster_.find(id);
     if (job == nullptr) co_return refuse(404, "no such job");
     cluster_.cancel(*job, loop_.now());
@@ -461,7 +461,7 @@
         flush();
     }
     http::Response r{200, workers::beatAnswer(cluster_.token(), orders)};
-    if (!leadership_.mayAct()) return later();
+    if (!acts()) return later();
     return r;
 }
 
--- a/src/app/reign.h
+++ b/src/app/reign.h
@@ -27,7 +27,12 @@
           state::Guard guard, Hooks hooks);
     void start();
     Task<void> end() { return scope_.end(); }
-    [[nodiscard]] bool ready() const { return loaded_ && leadership_.mayAct(); }
+    /// This process leads, and it is still by this election: elected again within a moment it has
+    /// the right to act, and what an earlier leadership of it knew is old.
+    [[nodiscard]] bool acts() const {
+        return leadership_.mayAct() && leadership_.token() == cluster_.token();
+    }
+    [[nodiscard]] bool ready() const { return loaded_ && acts(); }
     [[nodiscard]] bool loaded() const { return loaded_; }
 
     Task<http::Response> submit(std::string body);
@@ -56,6 +61,8 @@
     Task<void> manageFleet();
     /// Zones whose machines and controllers are silent alike.
     void findAway();
+    /// What stands under that key, of jobs or of what was learnt.
+    std::optional<state::Encoded> encode(const std::string& key);
     /// What was learnt goes on record now and then, for the next leader.
     Task<void> keepExperience();
     Task<void> recallExperience();
@@ -80,7 +87,6 @@
     Event written_, kicked_, dying_;
     loans::Lender lender_;
     scheduler::Cluster cluster_;
-    state::Guard guard_;
     state::Writer writer_;
     fleet::Cloud cloud_;
     fleet::Fleet fleet_;
--- a/src/leadership/leadership.cpp
+++ b/src/leadership/leadership.cpp
@@ -18,6 +18,9 @@
 const std::string absentKey = "lead/absent";
 constexpr Duration margin = 120ms;
 constexpr Duration pledgeHold = 3s;
+/// Of a node, until a leader goes on without its pledge; and of one that is about to be elected:
+/// whoever led before is silent then, and an outage might come before the next write.
+constexpr Duration absentAfter = 2s, absentAtElection = 1s;
 
 const state::Item* itemAt(const state::Listing& all, const std::string& key) {
     const auto it = std::find_if(all.items.begin(), all.items.end(),
@@ -55,6 +58,13 @@
     return out.text();
 }
 
+std::string absentText(const std::set<std::string>& nodes) {
+    json::Out out;
+    out.open().key("nodes").openArray();
+    for (const auto& n : nodes) out.value(n);
+    out.closeArray().close();
+    return out.text();
+}
 /// Nothing if it cannot be read: then nobody may rely on what it says.
 std::optional<std::set<std::string>> absentIn(const state::Item* item) {
     if (item == nullptr) return std::set<std::string>{};
@@ -240,6 +250,9 @@
                   {absentKey, absent != nullptr ? absent->revision : 0}};
     txn.puts = {{holderKey, holder.text(), grant.id},
                 {tokenKey, counterText(counter, node_), std::nullopt}};
+    const auto silent = fewSilent(absentAtElection);
+    const bool relist = silent != *listed;
+    if (relist) txn.puts.push_back({absentKey, absentText(silent), std::nullopt});
     const state::Committed won = co_await client_.commit(std::move(txn), scope);
     if (won.verdict != Verdict::ok) {
         // If the answer was lost the key may be ours yet; without the grant it cannot stay.
@@ -250,9 +263,9 @@
     format_ = counter.format;
     grant_ = grant.id;
     holder_ = counterAt_ = won.revision;
-    absent_ = *listed;
-    written_ = listed;
-    absentAt_ = absent != nullptr ? absent->revision : 0;
+    absent_ = silent;
+    written_ = silent;
+    absentAt_ = relist ? won.revision : absent != nullptr ? absent->revision : 0;
     recording_ = false;
     rightUntil_ = TimePoint{};
     resign_ = false;
@@ -260,9 +273,12 @@
     co_return true;
 }
 
-std::set<std::string> Leadership::fewSilent() const {
+std::set<std::string> Leadership::fewSilent(Duration span) const {
     // Most must stay able to campaign; and where most are silent, the silent one is this node.
-    std::set<std::string> silent = hooks_.silent();
+    std::set<std::string> silent = hooks_.silent(span);
+    // Who is listed already stays so until it speaks.
+    for (const auto& n : hooks_.silent(absentAtElection))
+        if (absent_.contains(n)) silent.insert(n);
     if (silent.size() * 2 >= others_.size() + 1) silent.clear();
     return silent;
 }
@@ -272,13 +288,9 @@
     recording_ = true;
     // Whoever is struck off is relied on from now on; whoever is added, once that stands.
     std::erase_if(absent_, [&](const auto& n) { return !silent.contains(n); });
-    json::Out out;
-    out.open().key("nodes").openArray();
-    for (const auto& n : silent) out.value(n);
-    out.closeArray().close();
     state::Transaction txn;
     txn.guards = {{holderKey, holder_}, {absentKey, absentAt_}};
-    txn.puts = {{absentKey, out.text(), std::nullopt}};
+    txn.puts = {{absentKey, absentText(silent), std::nullopt}};
     const state::Committed done = co_await client_.commit(std::move(txn), scope);
     state::Found now;
     if (done.verdict != Verdict::ok && !scope.cancelled())
@@ -337,7 +349,7 @@
         stateAnswers_ = touched.verdict == Verdict::ok;
         if (touched.verdict == Verdict::ok) {
             extend(touched.sentAt, life_);
-            auto silent = fewSilent();
+            auto silent = fewSilent(absentAfter);
             if (!recording_ && written_ != silent)
                 scope.spawn(recordAbsent(std::move(silent), scope));
         } else if (touched.verdict != Verdict::notFound) {
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -28,8 +28,8 @@
             pledgeAll;
         /// That node has said, since this process started, that it does not lead.
         std::function<bool(const std::string& node)> idle;
-        /// Nodes that have not been reached for a while.
-        std::function<std::set<std::string>()> silent;
+        /// Nodes that have said nothing for so long.
+        std::function<std::set<std::string>(Duration)> silent;
     };
     Leadership(Loop& loop, state::Client& client, const settings::Settings& settings,
                std::string incarnation, Hooks hooks);
@@ -68,7 +68,7 @@
     [[nodiscard]] bool owesNoWait() const;
     /// Puts on record who is silent: those may not campaign, so that their pledge is not needed.
     Task<void> recordAbsent(std::set<std::string> silent, Scope& scope);
-    [[nodiscard]] std::set<std::string> fewSilent() const;
+    [[nodiscard]] std::set<std::string> fewSilent(Duration span) const;
 
     Loop& loop_;
     state::Client& client_;
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -160,7 +160,7 @@
     listener_ = std::make_unique<Listener>(loop_, listen_);
     scope.spawn(acceptAll(scope));
     for (const auto& p : peers_) {
-        lastThere_[p.name] = loop_.now();
+        lastHeard_[p.name] = loop_.now();
         redial_.try_emplace(p.name, loop_);
         scope.spawn(dial(p, scope));
     }
@@ -168,8 +168,12 @@
 
 std::set<std::string> Mesh::silentFor(Duration span) const {
     std::set<std::string> out;
-    for (const auto& [node, at] : lastThere_)
-        if (!connected(node) && loop_.now() - at > span) out.insert(node);
+    for (const auto& [node, before] : lastHeard_) {
+        const auto link = links_.find(node);
+        const TimePoint at =
+            link == links_.end() ? before : std::max(before, link->second->heardAt);
+        if (loop_.now() - at > span) out.insert(node);
+    }
     return out;
 }
 
@@ -256,7 +260,7 @@
         link->broken = true;
         link->wake.notify();
         if (links_[peer.name] == link) links_.erase(peer.name);
-        lastThere_[peer.name] = loop_.now();
+        lastHeard_[peer.name] = std::max(lastHeard_[peer.name], link->heardAt);
         for (auto& [id, p] : pending_) {
             if (p->node != peer.name || p->answered()) continue;
             p->lost = true;
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -80,7 +80,7 @@
     /// Whether every other node has said that it knows that format of the stored state, but for
     /// those that have not been reached for so long.
     [[nodiscard]] bool allKnowFormat(unsigned format, Duration absentAfter) const;
-    /// Nodes that there has been no connection to for so long.
+    /// Nodes that have said nothing for so long.
     [[nodiscard]] std::set<std::string> silentFor(Duration span) const;
     /// Through whichever other node reaches the state service.
     Task<http::Outcome> viaPeers(http::Request request, Duration patience, Scope& scope);
@@ -141,7 +141,7 @@
     Hooks hooks_;
     std::unique_ptr<Listener> listener_;
     std::map<std::string, std::shared_ptr<Link>> links_;
-    std::map<std::string, TimePoint> lastThere_;  // when a connection to it was last there
+    std::map<std::string, TimePoint> lastHeard_;  // on connections that have ended
     std::map<std::string, bool> handsOn_;         // as last said
     std::map<std::string, Event> redial_;         // it has been heard: no need to wait
     std::map<std::uint64_t, std::shared_ptr<Pending>> pending_;
