--- a/src/app/controller_test.cpp
+++ b/src/app/controller_test.cpp
@@ -645,6 +645,49 @@
     EXPECT_LT(world.clock.now() - from, life);
 }
 
+TEST_F(ControllerTest, WhatWaitedForAnEarlierLeadershipOfTheSameProcessIsRefused) {
+    // It leads again within a moment, and has the right to act again: what waited knows less.
+    start(1);
+    bool hold = true;
+    state.fault = [&](const http::Request& r) -> testing::StateService::Fault {
+        if (!hold || r.body.find("jobs/run-1") == std::string::npos) return {};
+        hold = false;
+        return {testing::StateService::Fault::Kind::late, 1200ms};
+    };
+    http::Outcome waited;
+    bool done = false;
+    users.spawn(
+        send(*nodes[0]->client, {"POST", "/v1/jobs", testing::submission("run-1")}, waited, done));
+    world.run(100ms);
+    state.endGrantOf("lead/holder");
+    world.until([&] { return done; });
+    EXPECT_EQ(waited.response.status, 503);
+    world.until([&] { return token() == 2U && state.keys.contains("lead/holder"); });
+    world.run(2s);
+    EXPECT_FALSE(state.keys.contains("jobs/run-1")) << "the write came late, and was fenced";
+    EXPECT_EQ(ask(0, "GET", "/v1/jobs/run-1").response.status, 404);
+    EXPECT_EQ(ask(0, "POST", "/v1/jobs", testing::submission("run-1")).response.status, 201);
+}
+
+TEST_F(ControllerTest, ALateRecordOfAbsentNodesIsMendedByWhoeverLeads) {
+    // Written without an answer, and carried out seconds later: the node that it names is back.
+    start(3);
+    const std::size_t away = (leader() + 1) % 3;
+    state.fault = [](const http::Request& r) -> testing::StateService::Fault {
+        if (r.body.find("lead/absent") == std::string::npos) return {};
+        return {testing::StateService::Fault::Kind::late, 4s};
+    };
+    kill(away);
+    world.run(4s);
+    launch(*nodes[away]);
+    state.fault = nullptr;
+    world.run(8s);
+    const auto listed = state.keys.find("lead/absent");
+    EXPECT_TRUE(listed == state.keys.end() || listed->second.data == R"({"nodes":[]})")
+        << listed->second.data;
+    EXPECT_EQ(token(), 1U);
+}
+
 TEST_F(ControllerTest, AFormerLeadersWriteIsRefused) {
     start(1);
     auto settings = nodes[0]->settings;
--- /dev/null
+++ b/src/scheduler/cluster_fixture.h
@@ -0,0 +1,73 @@
+#pragma once
+// For tests only: a leader's state on a fake clock, and shorthands for what its machines do.
+#include <gtest/gtest.h>
+
+#include "scheduler/cluster.h"
+#include "testing/world.h"
+
+namespace basaltchute::scheduler {
+
+using namespace std::chrono_literals;
+using testing::Worker;
+using workers::ExitCause;
+using workers::Order;
+using workers::TaskStatus;
+using workers::Verb;
+
+/// A leader's state on a fake clock, with the state service played by `commit`.
+class ClusterTest : public ::testing::Test {
+  protected:
+    FakeClock clock;
+    settings::Settings settings = testing::someSettings();
+    std::unique_ptr<Cluster> cluster = make(5);
+    std::map<std::string, std::string> records;
+
+    std::unique_ptr<Cluster> make(Token token) {
+        auto c = std::make_unique<Cluster>(settings, token);
+        c->setCatalogue(testing::someCatalogue());
+        return c;
+    }
+    void commit() { testing::commitAll(*cluster, records); }
+    void takeOver() {
+        cluster = make(cluster->token() + 1);
+        for (const auto& [k, data] : records)
+            ASSERT_TRUE(cluster->load(k, data, clock.now(), clock.wall()));
+        cluster->loaded(clock.now());
+    }
+    std::vector<Order> beat(Worker& w) {
+        const auto orders = cluster->beat(w.next(), clock.now());
+        w.report.token = cluster->token();
+        return orders;
+    }
+    void exchange(Worker& w) { w.execute(beat(w)); }
+    Job& submit(const JobSpec& spec) {
+        EXPECT_EQ(cluster->submit(spec, clock.now(), clock.wall()), Submitted::fresh);
+        commit();
+        return *cluster->find(spec.id);
+    }
+    void place() { cluster->place(clock.now()); }
+    /// There is room for one of two jobs, and it goes to run-2, which came later.
+    void laterGoesFirst(const JobSpec& first, Duration apart) {
+        submit(first);
+        clock.advance(apart);
+        submit(testing::spec("run-2", 2));
+        Worker w("n-1");
+        exchange(w);
+        place();
+        EXPECT_EQ(cluster->find("run-2")->boundCount, 2U);
+        EXPECT_EQ(cluster->find(first.id)->boundCount, 0U);
+    }
+    /// Submits, places and launches on `w` so that every task runs there.
+    Job& running(Worker& w, const JobSpec& spec) {
+        exchange(w);
+        Job& job = submit(spec);
+        place();
+        commit();
+        exchange(w);
+        exchange(w);
+        EXPECT_EQ(job.runningCount, spec.tasks);
+        return job;
+    }
+};
+
+}  // namespace basaltchute::scheduler
--- a/src/state/writer_test.cpp
+++ b/src/state/writer_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <random>
+
 #include "testing/world.h"
 
 namespace basaltchute::state {
@@ -111,6 +113,35 @@
     EXPECT_GT(client->writes().rate(), 20);
 }
 
+TEST_F(WriterTest, AWriteThatIsCarriedOutLateUndoesNoNewerOne) {
+    // Creations and changes, alone and in company, given up without an answer: what stands in the
+    // end is the last of each, and the writer knows it.
+    begin({});
+    std::map<std::string, std::size_t> least;
+    std::mt19937 random(7);
+    const auto drawn = [&](unsigned n) { return random() % n; };
+    service->fault = [&](const http::Request& r) -> lab::StateService::Fault {
+        if (r.target != "/multi" || drawn(3) > 0) return {};
+        return {lab::StateService::Fault::Kind::late,
+                std::chrono::milliseconds(2000 + drawn(10000))};
+    };
+    service->onPut = [&](const std::string& key, const std::string& data) {
+        EXPECT_GE(data.size(), least[key]) << key << " went back";
+        least[key] = data.size();
+    };
+    for (std::size_t i = 0; i < 60; ++i) {
+        for (const char* key : {"jobs/a", "jobs/b", "jobs/c", "jobs/d"})
+            if (drawn(2) == 0) write(key, 100 + i);
+        world.run(std::chrono::milliseconds(100 + drawn(900)));
+    }
+    world.run(20s);
+    for (const auto& [key, bytes] : sizes) {
+        EXPECT_EQ(service->keys.at(key).data.size(), bytes) << key;
+        EXPECT_EQ(durable.at(key), versions.at(key)) << key;
+    }
+    EXPECT_GT(troubled, 10);
+}
+
 TEST_F(WriterTest, WhatIsWrittenUnderOtherKeysByNowIsLeftOut) {
     begin({1e9, 1e9, 1000, 20, {}});
     write("gone", 0);
