--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -81,10 +81,10 @@
       state_(loop, settings_),
       leadership_(
           loop, state_, settings_, incarnation,
-          {[this](Token, state::Guard guard) {
-               reign_ = std::make_shared<Reign>(
+          {[this](FencingToken, state::Guard guard) {
+               term_ = std::make_shared<Term>(
                    loop_, settings_, operator_, state_, leadership_, std::move(guard),
-                   Reign::Hooks{
+                   Term::Hooks{
                        [this](workers::Reach::Target t, http::Request r, Duration patience,
                               Scope& scope) -> Task<workers::Reach::Detoured> {
                            auto over =
@@ -101,16 +101,16 @@
                        holder_.sinceUse(loop_.now()),
                        [this](unsigned f) { return mesh_.allKnowFormat(f, absentAfter); }});
                holder_.drop();
-               reign_->start();
+               term_->start();
                mesh_.announce();
            },
            [this]() -> Task<void> {
-               const auto reign = std::exchange(reign_, nullptr);
-               holder_.keep(leadership_.token(), reign->lentToSelf(), loop_.now());
+               const auto term = std::exchange(term_, nullptr);
+               holder_.keep(leadership_.token(), term->delegatedToSelf(), loop_.now());
                mesh_.announce();
-               co_await reign->end();
+               co_await term->end();
            },
-           [this](Token token, Duration hold, const std::set<std::string>& absent) {
+           [this](FencingToken token, Duration hold, const std::set<std::string>& absent) {
                const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(hold);
                return mesh_.pledgeAll({token, ms}, absent, pledgePatience, scope_);
            },
@@ -123,7 +123,7 @@
                  return mesh::Hello{settings_.node,
                                     leadership_.mayAct(),
                                     leadership_.token(),
-                                    reign_ && reign_->ready(),
+                                    term_ && term_->ready(),
                                     hears ? known->token : 0,
                                     true,
                                     true,
@@ -155,18 +155,18 @@
                  return lead(std::move(r));
              },
              [this](const mesh::Pledge& p) { return leadership_.pledge(p.token, p.hold); },
-             [this](const loans::Question& q) -> std::optional<loans::Loan> {
-                 if (!reign_) return handOn(q);
-                 // A successor of an older version would know nothing of loans.
+             [this](const delegation::Question& q) -> std::optional<delegation::Delegation> {
+                 if (!term_) return handOn(q);
+                 // A successor of an older version would know nothing of delegations.
                  const bool allKnow = std::all_of(
                      settings_.peers.begin(), settings_.peers.end(), [&](const auto& p) {
-                         return !mesh_.connected(p.name) || mesh_.knowsLoans(p.name);
+                         return !mesh_.connected(p.name) || mesh_.knowsDelegations(p.name);
                      });
-                 return reign_->lend(q, allKnow);
+                 return term_->delegate(q, allKnow);
              }}),
       server_(loop, settings_.listen, http::ServerLimits{settings_.servedSockets()},
               [this](http::Request r) { return handle(std::move(r)); }),
-      holder_(loans::Terms::of(settings_), settings_.zone, loop.now()),
+      holder_(delegation::Bounds::of(settings_), settings_.zone, loop.now()),
       leaderSeen_(loop.now()) {
     if (settings_.peers.empty()) return;
     state_.setRelay([this](http::Request r, Duration patience, Scope& scope) {
@@ -213,7 +213,7 @@
     if (call.verb == UserCall::Verb::none) co_return plain(404, R"({"error":"no such path"})");
     if (call.verb == UserCall::Verb::wrongMethod)
         co_return plain(405, R"({"error":"wrong method"})");
-    const bool leads = reign_ && reign_->ready();
+    const bool leads = term_ && term_->ready();
     if (call.verb == UserCall::Verb::submit && !leads) {
         // What is malformed is so whoever leads; a leader finds out by itself.
         auto parsed = jobs::parseSubmission(r.body);
@@ -232,9 +232,9 @@
 
 Task<std::optional<http::Response>> Controller::passOn(http::Request r, Duration patience) {
     const TimePoint until = loop_.now() + patience;
-    Token asked = 0;
+    FencingToken asked = 0;
     while (loop_.now() < until) {
-        if (reign_) {
+        if (term_) {
             auto response = co_await lead(std::move(r));
             co_return response;
         }
@@ -269,44 +269,44 @@
 }
 
 Task<http::Response> Controller::lead(http::Request r) {
-    const auto reign = reign_;  // held: it may be deposed while the request waits
-    if (!reign || !reign->ready()) co_return noLeader();
+    const auto term = term_;  // held: it may be deposed while the request waits
+    if (!term || !term->ready()) co_return noLeader();
     if (r.target == beatPath) {
         const auto report = workers::parseReport(r.body);
         if (!report) co_return malformedReport();
-        co_return leaderBeat(*reign, *report).value_or(noLeader());
+        co_return leaderBeat(*term, *report).value_or(noLeader());
     }
     const UserCall call = parseCall(r);
     http::Response response = noLeader();
     switch (call.verb) {
         case UserCall::Verb::submit:
-            response = co_await reign->submit(std::move(r.body));
+            response = co_await term->submit(std::move(r.body));
             break;
         case UserCall::Verb::query:
-            response = co_await reign->query(call.id);
+            response = co_await term->query(call.id);
             break;
         case UserCall::Verb::withdraw:
-            response = co_await reign->withdraw(call.id);
+            response = co_await term->withdraw(call.id);
             break;
         default:
             co_return plain(404, "{}");
     }
-    if (!reign->acts()) co_return noLeader();
+    if (!term->acts()) co_return noLeader();
     co_return response;
 }
 
-std::optional<http::Response> Controller::leaderBeat(Reign& reign, const workers::Report& report) {
+std::optional<http::Response> Controller::leaderBeat(Term& term, const workers::Report& report) {
     if (report.token > leadership_.token())
         leadership_.stepDown("a worker has seen a higher token");
-    if (!reign.acts()) return std::nullopt;
-    return reign.beat(report);
+    if (!term.acts()) return std::nullopt;
+    return term.beat(report);
 }
 
 Task<http::Response> Controller::beat(http::Request r) {
     const auto report = workers::parseReport(r.body);
     if (!report) co_return malformedReport();
-    if (reign_)
-        if (auto answer = leaderBeat(*reign_, *report)) co_return std::move(*answer);
+    if (term_)
+        if (auto answer = leaderBeat(*term_, *report)) co_return std::move(*answer);
     const auto known = leadership_.known();
     if (known && known->node != settings_.node && mesh_.connected(known->node)) {
         // Passed on instead of sent away: the worker may not be able to reach the leader.
@@ -333,22 +333,22 @@
 Task<void> Controller::borrow() {
     while (!scope_.cancelled()) {
         const auto known = leadership_.known();
-        if (!reign_ && known && known->node != settings_.node && mesh_.knowsLoans(known->node) &&
-            mesh_.connected(known->node)) {
+        if (!term_ && known && known->node != settings_.node &&
+            mesh_.knowsDelegations(known->node) && mesh_.connected(known->node)) {
             const TimePoint askedAt = loop_.now();
             auto question = holder_.question(settings_.node, askedAt);
-            const auto loan =
+            const auto delegation =
                 co_await mesh_.borrow(known->node, std::move(question), borrowPatience, scope_);
             // This node may lead by now.
-            if (loan && !reign_) {
-                if (!holder_.take(*loan, askedAt, loop_.now()))
-                    spdlog::error("a loan of {} s by {} is longer than any may be: not taken",
-                                  toSeconds(loan->span), known->node);
+            if (delegation && !term_) {
+                if (!holder_.take(*delegation, askedAt, loop_.now()))
+                    spdlog::error("a delegation of {} s by {} is longer than any may be: not taken",
+                                  toSeconds(delegation->span), known->node);
                 if (std::exchange(lentOut_, false))
                     spdlog::info("the leader is heard again: no more answers in its name");
             }
         }
-        if (!reign_ && holder_.wants(loop_.now())) co_await borrowFromHolders();
+        if (!term_ && holder_.wants(loop_.now())) co_await borrowFromHolders();
         co_await loop_.sleep(borrowEvery, scope_);
     }
 }
@@ -358,17 +358,17 @@
         if (p.zone != settings_.zone || !mesh_.connected(p.name)) continue;
         const TimePoint askedAt = loop_.now();
         auto question = holder_.question(settings_.node, askedAt);
-        const auto loan =
+        const auto delegation =
             co_await mesh_.borrow(p.name, std::move(question), borrowPatience, scope_);
-        if (!loan || loan->number != 0 || reign_) continue;
-        holder_.takeOn(*loan, askedAt, loop_.now());
+        if (!delegation || delegation->number != 0 || term_) continue;
+        holder_.takeOn(*delegation, askedAt, loop_.now());
         if (!holder_.holds(loop_.now())) continue;
-        spdlog::info("{} hands on its loan, token {}", p.name, loan->token);
+        spdlog::info("{} hands on its delegation, token {}", p.name, delegation->token);
         co_return;
     }
 }
 
-std::optional<loans::Loan> Controller::handOn(const loans::Question& question) {
+std::optional<delegation::Delegation> Controller::handOn(const delegation::Question& question) {
     const bool near = std::any_of(
         settings_.peers.begin(), settings_.peers.end(),
         [&](const auto& p) { return p.name == question.node && p.zone == settings_.zone; });
@@ -379,7 +379,7 @@
 }
 
 std::optional<http::Response> Controller::inItsName(const workers::Report& report) {
-    if (reign_) return std::nullopt;
+    if (term_) return std::nullopt;
     const auto known = leadership_.known();
     if (!holder_.answer(report.token, report.zone, known ? known->token : 0, loop_.now()))
         return std::nullopt;
@@ -411,11 +411,11 @@
     if (const auto known = leadership_.known())
         o.field("leader", known->node).field("token", known->token);
     o.field("connections", static_cast<std::uint64_t>(server_.connections()));
-    if (reign_ && reign_->loaded()) {
-        const auto& c = reign_->cluster();
+    if (term_ && term_->loaded()) {
+        const auto& c = term_->cluster();
         o.field("jobs", static_cast<std::uint64_t>(c.jobCount()));
         o.field("open", static_cast<std::uint64_t>(c.openJobs().size()));
-        o.field("unwritten", static_cast<std::uint64_t>(reign_->backlog()));
+        o.field("unwritten", static_cast<std::uint64_t>(term_->backlog()));
         writeWaiting(o, c, loop_.now());
         o.key("cells").open();
         for (const auto& [type, pool] : c.pools()) {
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -2,7 +2,7 @@
 #include <memory>
 #include <set>
 
-#include "app/reign.h"
+#include "app/term.h"
 #include "http/server.h"
 #include "mesh/mesh.h"
 
@@ -28,14 +28,14 @@
     Task<std::optional<http::Response>> passOn(http::Request request, Duration patience);
     Task<http::Response> lead(http::Request request);
     /// Nothing if this node must not act, or finds out by the report that it must not.
-    std::optional<http::Response> leaderBeat(Reign& reign, const workers::Report& report);
+    std::optional<http::Response> leaderBeat(Term& term, const workers::Report& report);
     Task<http::Response> beat(http::Request request);
     /// Asks whoever leads for the right to answer for it, as long as it is heard.
     Task<void> borrow();
     /// Asks the other nodes of the zone for theirs: this one was started again in a cut.
     Task<void> borrowFromHolders();
-    /// A loan for a node of this zone that holds none, as long as its leader is silent.
-    std::optional<loans::Loan> handOn(const loans::Question& question);
+    /// A delegation for a node of this zone that holds none, as long as its leader is silent.
+    std::optional<delegation::Delegation> handOn(const delegation::Question& question);
     /// An answer in the name of a leader that is silent; nothing if this node may not.
     std::optional<http::Response> inItsName(const workers::Report& report);
     http::Response up();
@@ -49,9 +49,9 @@
     Leadership leadership_;
     mesh::Mesh mesh_;
     http::Server server_;
-    std::shared_ptr<Reign> reign_;
-    loans::Holder holder_;
-    bool lentOut_ = false;             // answering by a loan, as last logged
+    std::shared_ptr<Term> term_;
+    delegation::Holder holder_;
+    bool lentOut_ = false;             // answering by a delegation, as last logged
     std::set<std::string> idlePeers_;  // said since this node started that they do not lead
     TimePoint leaderSeen_;
 };
--- a/src/app/controller_test.cpp
+++ b/src/app/controller_test.cpp
@@ -311,7 +311,7 @@
     EXPECT_NE(ask(0, "POST", "/v1/jobs", testing::submission("run-1")).response.status, 503);
 }
 
-TEST_F(ControllerTest, AWorkerIsAnsweredInASilentLeadersNameUntilTheLoanEnds) {
+TEST_F(ControllerTest, AWorkerIsAnsweredInASilentLeadersNameUntilTheDelegationEnds) {
     // A zone cut off for longer than a lease lost all its tasks: nobody there could answer.
     start(2);
     const auto beat = [](unsigned tick, unsigned token) {
@@ -322,7 +322,7 @@
     ASSERT_EQ(ask(0, "POST", "/agent/beat", beat(1, 0)).response.status, 200);
     const bool firstLeads = state.keys.at("lead/holder").data.find("rig-0") != std::string::npos;
     const std::size_t leader = firstLeads ? 0 : 1, holder = firstLeads ? 1 : 0;
-    const auto terms = loans::Terms::of(nodes[holder]->settings);
+    const auto terms = delegation::Bounds::of(nodes[holder]->settings);
     state.down = true;  // so that nobody takes over
     bool left = false;
     world.scope.spawn(stop(*nodes[leader]->controller, left));
@@ -340,7 +340,7 @@
     world.run(4s);
     EXPECT_NE(ask(holder, "POST", "/agent/beat", beat(++tick, 1)).response.status, 200);
     EXPECT_NE(ask(holder, "POST", "/v1/jobs", testing::submission("run-1")).response.status, 201)
-        << "a loan answers workers only";
+        << "a delegation answers workers only";
     nodes.erase(nodes.begin() + static_cast<std::ptrdiff_t>(leader));
 }
 
@@ -353,8 +353,10 @@
     settings.node = "rig-9";
     Leadership other(
         world.loop, client, settings, "x",
-        {[&](Token, state::Guard) { elected = true; }, []() -> Task<void> { co_return; },
-         [](Token, Duration, const std::set<std::string>&) -> Task<bool> { co_return false; },
+        {[&](FencingToken, state::Guard) { elected = true; }, []() -> Task<void> { co_return; },
+         [](FencingToken, Duration, const std::set<std::string>&) -> Task<bool> {
+             co_return false;
+         },
          [](const std::string&) { return false; },
          [](Duration) { return std::set<std::string>{}; }});
     scope.spawn(other.run(scope));
@@ -455,7 +457,7 @@
     // other node: with one node silent nobody led as long as the others ended more often than that.
     start(2, 1);
     ASSERT_EQ(ask(0, "POST", "/v1/jobs", testing::submission("run-1")).response.status, 201);
-    Token before = token();
+    FencingToken before = token();
     for (int s = 0; s < 6; ++s) {
         for (std::size_t i = 0; i < 2; ++i) kill(i);
         world.run(200ms);
@@ -569,7 +571,7 @@
         if (r.target.starts_with("/watch")) return {};
         return {testing::StateService::Fault::Kind::slow, 20ms};
     };
-    std::set<Token> elected{token()};
+    std::set<FencingToken> elected{token()};
     std::size_t interrupted = 0;
     for (int step = 0; step < 40; ++step) {
         kill(0);
@@ -598,9 +600,9 @@
     EXPECT_LT(interrupted, 35U) << "and after";
 }
 
-TEST_F(ControllerTest, AHolderHandsItsLoanOnToANodeOfItsZoneThatWasStartedAgain) {
-    // A node that has just started holds no loan: nodes of a cut zone that were started again one
-    // after the other left it without any.
+TEST_F(ControllerTest, AHolderHandsItsDelegationOnToANodeOfItsZoneThatWasStartedAgain) {
+    // A node that has just started holds no delegation: nodes of a cut zone that were started again
+    // one after the other left it without any.
     start(3);
     const auto beat = [](unsigned tick) {
         return R"({"host":"n-1","addr":"127.0.0.1:1","rigKind":"box","hall":"a","loaners":false,"stint":1,"tick":)" +
@@ -609,7 +611,7 @@
     const std::size_t led = leader();
     ASSERT_LT(led, 3U);
     const std::size_t first = (led + 1) % 3, second = (led + 2) % 3;
-    const auto terms = loans::Terms::of(nodes[0]->settings);
+    const auto terms = delegation::Bounds::of(nodes[0]->settings);
     state.down = true;  // so that nobody takes over
     kill(led);
     unsigned tick = 0;
--- a/src/app/reign.cpp
+++ b/src/app/term.cpp
@@ -1,4 +1,4 @@
-#include "app/reign.h"
+#include "app/term.h"
 
 #include <spdlog/spdlog.h>
 
@@ -22,8 +22,8 @@
 constexpr unsigned partedFormat = 2;  // of the stored state, with chains and records in parts
 constexpr std::size_t slice = 64;     // tasks placed before others get their turn
 
-std::vector<loans::Lender::Node> othersOf(const settings::Settings& s) {
-    std::vector<loans::Lender::Node> out;
+std::vector<delegation::Delegator::Node> othersOf(const settings::Settings& s) {
+    std::vector<delegation::Delegator::Node> out;
     for (const auto& p : s.peers) out.push_back({p.name, p.zone});
     return out;
 }
@@ -35,9 +35,9 @@
 }
 }  // namespace
 
-Reign::Reign(Loop& loop, const settings::Settings& settings,
-             const settings::Operator& operatorSettings, state::Client& state,
-             Leadership& leadership, state::Guard guard, Hooks hooks)
+Term::Term(Loop& loop, const settings::Settings& settings,
+           const settings::Operator& operatorSettings, state::Client& state, Leadership& leadership,
+           state::Guard guard, Hooks hooks)
     : loop_(loop),
       settings_(settings),
       state_(state),
@@ -46,8 +46,8 @@
       written_(loop),
       kicked_(loop),
       dying_(loop),
-      lender_(loans::Terms::of(settings), leadership.token(), {settings.node, settings.zone},
-              hooks.sinceUse, othersOf(settings), loop.now()),
+      delegator_(delegation::Bounds::of(settings), leadership.token(),
+                 {settings.node, settings.zone}, hooks.sinceUse, othersOf(settings), loop.now()),
       cluster_(settings, leadership.token()),
       writer_(loop, state, settings.txnOps, std::move(guard),
               {[this](const std::string& key) { return encode(key); },
@@ -71,15 +71,15 @@
       speaks_(std::move(hooks.speaks)),
       allKnow_(std::move(hooks.allKnow)) {
     cluster_.setOperator(operatorSettings);
-    lender_.setLending(operatorSettings.zoneLoans);
-    cluster_.setLender(lender_);
+    delegator_.setDelegating(operatorSettings.zoneLoans);
+    cluster_.setDelegator(delegator_);
 }
 
-void Reign::start() {
+void Term::start() {
     scope_.spawn(load());
 }
 
-Task<void> Reign::load() {
+Task<void> Term::load() {
     while (!scope_.cancelled()) {
         // Nobody else writes meanwhile: whoever did before is fenced by this leader's key.
         state::Listing all = co_await state_.list(jobs::blockPrefix, scope_);
@@ -111,19 +111,19 @@
     }
 }
 
-void Reign::kick() {
+void Term::kick() {
     dirty_ = true;
     kicked_.notify();
 }
 
-void Reign::flush() {
+void Term::flush() {
     scheduler::Effects effects = cluster_.take();
     for (const auto& [key, urgency] : effects.dirty) writer_.dirty(key, urgency);
     for (const MachineIndex m : effects.push) scope_.spawn(direct(m));
     if (cluster_.wantsParted() && !raising_) scope_.spawn(raiseFormat());
 }
 
-Task<bool> Reign::parted() {
+Task<bool> Term::parted() {
     if (leadership_.format() < partedFormat) {
         // A node that does not know it might lead next, and would lose what it cannot read.
         if (cluster_.operatorSettings().storedFormat < partedFormat || !allKnow_(partedFormat) ||
@@ -136,7 +136,7 @@
     co_return true;
 }
 
-Task<void> Reign::raiseFormat() {
+Task<void> Term::raiseFormat() {
     raising_ = true;
     const bool done = co_await parted();
     // Not while an older version is there: asked again with a later write.
@@ -145,7 +145,7 @@
     if (!scope_.cancelled()) flush();
 }
 
-Task<void> Reign::schedule() {
+Task<void> Term::schedule() {
     while (!scope_.cancelled()) {
         if (!dirty_) co_await loop_.wait(kicked_, loop_.now() + tick, scope_);
         if (scope_.cancelled()) break;
@@ -164,12 +164,12 @@
     }
 }
 
-workers::Reach::Target Reign::target(MachineIndex machine) const {
+workers::Reach::Target Term::target(MachineIndex machine) const {
     const workers::Machine& m = cluster_.machines()[machine];
     return {machine, m.zone.empty() ? m.listedZone : m.zone, m.address};
 }
 
-Task<void> Reign::direct(MachineIndex machine) {
+Task<void> Term::direct(MachineIndex machine) {
     while (!scope_.cancelled()) {
         const auto orders = cluster_.directOrders(machine, loop_.now());
         if (orders.empty()) co_return;
@@ -197,7 +197,7 @@
     }
 }
 
-bool Reign::heed(const std::string& body) {
+bool Term::heed(const std::string& body) {
     const auto report = workers::parseReport(body);
     if (!report) return true;
     if (report->token > cluster_.token()) {
@@ -208,7 +208,7 @@
     return true;
 }
 
-Task<void> Reign::ask(MachineIndex machine) {
+Task<void> Term::ask(MachineIndex machine) {
     if (!asking_.insert(machine).second) co_return;
     for (std::size_t tries = 0; tries < askTries && !scope_.cancelled(); ++tries) {
         http::Request request{"GET", "/inspect", ""};
@@ -226,7 +226,7 @@
     asking_.erase(machine);
 }
 
-Task<void> Reign::readCloud() {
+Task<void> Term::readCloud() {
     TimePoint catalogueAt{}, listAt{};
     while (!scope_.cancelled()) {
         if (loop_.now() >= catalogueAt) {
@@ -244,7 +244,7 @@
     }
 }
 
-Task<void> Reign::manageFleet() {
+Task<void> Term::manageFleet() {
     while (!scope_.cancelled()) {
         findAway();
         const fleet::Plan plan = fleet_.plan(loop_.now());
@@ -271,7 +271,7 @@
     }
 }
 
-void Reign::findAway() {
+void Term::findAway() {
     for (const auto& zone : settings_.zones) {
         const bool nodesSilent =
             std::none_of(settings_.peers.begin(), settings_.peers.end(),
@@ -284,7 +284,7 @@
     }
 }
 
-Task<void> Reign::recallExperience() {
+Task<void> Term::recallExperience() {
     // A record for each type; one for all of them is what versions before wrote.
     const auto found = co_await state_.list(experienceKey, scope_);
     for (const auto& item : found.items) {
@@ -294,13 +294,13 @@
     }
 }
 
-std::optional<state::Encoded> Reign::encode(const std::string& key) {
+std::optional<state::Encoded> Term::encode(const std::string& key) {
     if (!key.starts_with(experiencePrefix)) return cluster_.encode(key);
     const std::string type = key.substr(experiencePrefix.size());
     return state::Encoded{fleet_.experience().encode(type, settings_.valueBytes), 0};
 }
 
-Task<void> Reign::keepExperience() {
+Task<void> Term::keepExperience() {
     while (!scope_.cancelled()) {
         const Wake woke = co_await loop_.sleep(experienceEvery, scope_);
         if (woke == Wake::cancelled) co_return;
@@ -311,7 +311,7 @@
     }
 }
 
-Task<void> Reign::rent(fleet::Rent wanted) {
+Task<void> Term::rent(fleet::Rent wanted) {
     fleet::Cloud::Rented result;
     if (acts()) result = co_await cloud_.rent(wanted, scope_);
     if (scope_.cancelled()) co_return;
@@ -321,7 +321,7 @@
         fleet_.rentFailed(wanted, result.answer == fleet::Cloud::Answer::refused, loop_.now());
 }
 
-http::Response Reign::later() const {
+http::Response Term::later() const {
     http::Response r = refuse(503, "not now");
     const double backlog = static_cast<double>(writer_.backlog()) / settings_.stateWriteRps;
     r.retryAfterS = static_cast<int>(std::clamp(backlog, 1.0, 30.0));
@@ -329,7 +329,7 @@
 }
 
 template <typename Fact>
-Task<bool> Reign::stands(Fact fact) {
+Task<bool> Term::stands(Fact fact) {
     const TimePoint until = loop_.now() + factPatience;
     while (!fact()) {
         // What the state service does not take now is refused now: the user is told when to
@@ -341,7 +341,7 @@
     co_return acts();
 }
 
-Task<std::optional<http::Response>> Reign::refuseNeeds(const JobSpec& spec) {
+Task<std::optional<http::Response>> Term::refuseNeeds(const JobSpec& spec) {
     using Wrong = scheduler::Cluster::Need::Wrong;
     if (spec.needs.empty()) co_return std::nullopt;
     const auto need = cluster_.wrongNeed(spec);
@@ -365,7 +365,7 @@
     co_return std::nullopt;
 }
 
-Task<http::Response> Reign::submit(std::string body) {
+Task<http::Response> Term::submit(std::string body) {
     auto parsed = jobs::parseSubmission(body);
     if (auto* why = std::get_if<std::string>(&parsed)) co_return refuse(400, *why);
     if (!ready()) co_return later();
@@ -406,7 +406,7 @@
     co_return response;
 }
 
-Task<http::Response> Reign::query(JobId id) {
+Task<http::Response> Term::query(JobId id) {
     if (!ready() || cluster_.unreadable(id)) co_return later();
     Job* job = cluster_.find(id);
     if (job == nullptr) co_return refuse(404, "no such job");
@@ -421,7 +421,7 @@
                              jobs::statusText(*job, job->runningCount > 0 ? "running" : "pending")};
 }
 
-Task<http::Response> Reign::withdraw(JobId id) {
+Task<http::Response> Term::withdraw(JobId id) {
     if (!ready() || cluster_.unreadable(id)) co_return later();
     Job* job = cluster_.find(id);
     if (job == nullptr) co_return refuse(404, "no such job");
@@ -443,17 +443,18 @@
     co_return http::Response{200, jobs::statusText(id, job->cancelled ? "cancelled" : "done")};
 }
 
-std::optional<loans::Loan> Reign::lend(const loans::Question& question, bool lends) {
+std::optional<delegation::Delegation> Term::delegate(const delegation::Question& question,
+                                                     bool delegates) {
     if (!ready()) return std::nullopt;
     const TimePoint now = loop_.now();
     const TimePoint cap =
-        lends ? cluster_.loanCap(lender_.zoneOf(question.node), now) : TimePoint{};
-    const auto loan = lender_.asked(question, cap, now);
+        delegates ? cluster_.delegationCap(delegator_.zoneOf(question.node), now) : TimePoint{};
+    const auto delegation = delegator_.asked(question, cap, now);
     kick();  // a withdrawal or a silent machine may have waited for what it says
-    return loan;
+    return delegation;
 }
 
-http::Response Reign::beat(const workers::Report& report) {
+http::Response Term::beat(const workers::Report& report) {
     std::vector<workers::Order> orders;
     if (loaded_) {
         orders = cluster_.beat(report, loop_.now());
--- a/src/app/reign.h
+++ b/src/app/term.h
@@ -12,19 +12,18 @@
 
 /// Everything that exists only while this node leads: made on election, ended on step-down.
 /// Requests that wait on it hold it, so it outlives its duties but never acts after them.
-class Reign {
+class Term {
   public:
     struct Hooks {
         workers::Reach::Detour detour;
         std::function<void()> loaded;                    // from now on requests can be answered
         std::function<bool(const std::string&)> speaks;  // whether that node does
-        Duration sinceUse{};                             // of a loan that this node held
+        Duration sinceUse{};                             // of a delegation that this node held
         /// No node that might lead next is known not to read that format of the stored state.
         std::function<bool(unsigned format)> allKnow;
     };
-    Reign(Loop& loop, const settings::Settings& settings,
-          const settings::Operator& operatorSettings, state::Client& state, Leadership& leadership,
-          state::Guard guard, Hooks hooks);
+    Term(Loop& loop, const settings::Settings& settings, const settings::Operator& operatorSettings,
+         state::Client& state, Leadership& leadership, state::Guard guard, Hooks hooks);
     void start();
     Task<void> end() { return scope_.end(); }
     /// This process leads, and it is still by this election: elected again within a moment it has
@@ -40,10 +39,13 @@
     Task<http::Response> withdraw(JobId id);
     http::Response beat(const workers::Report& report);
     /// The right to answer for this leader while it is silent; nothing as long as the records are
-    /// not loaded. `lends`: every node understands what that means.
-    std::optional<loans::Loan> lend(const loans::Question& question, bool lends);
+    /// not loaded. `delegates`: every node understands what that means.
+    std::optional<delegation::Delegation> delegate(const delegation::Question& question,
+                                                   bool delegates);
     /// What this node lent to itself: how late it may answer its zone's workers without the right.
-    [[nodiscard]] TimePoint lentToSelf() const { return lender_.answersEndOf(settings_.node); }
+    [[nodiscard]] TimePoint delegatedToSelf() const {
+        return delegator_.answersEndOf(settings_.node);
+    }
     [[nodiscard]] const scheduler::Cluster& cluster() const { return cluster_; }
     [[nodiscard]] std::size_t backlog() const { return writer_.backlog(); }
     [[nodiscard]] http::Response later() const;
@@ -85,7 +87,7 @@
     Leadership& leadership_;
     Scope scope_;
     Event written_, kicked_, dying_;
-    loans::Lender lender_;
+    delegation::Delegator delegator_;
     scheduler::Cluster cluster_;
     state::Writer writer_;
     fleet::Cloud cloud_;
--- a/src/loans/terms.h
+++ b/src/delegation/bounds.h
@@ -3,23 +3,23 @@
 
 #include "settings/settings.h"
 
-namespace basaltchute::loans {
+namespace basaltchute::delegation {
 
 /// What every node derives alike from the platform's settings, so that a successor knows the
-/// longest loan that a leader it never heard of can have given.
-struct Terms {
-    Duration longest{};       // a loan lasts at most so long from when it was asked for
+/// longest delegation that a leader it never heard of can have given.
+struct Bounds {
+    Duration longest{};       // a delegation lasts at most so long from when it was asked for
     Duration lease{};         // of the workers
     Duration cancelWithin{};  // by when a cancelled task must be gone after its user was told
     Duration quiet{};         // a holder answers once it has not heard its leader for so long
 
-    static Terms of(const settings::Settings& s) {
-        // Zones were away for one to two leases. The price of a longer loan is that tasks on
+    static Bounds of(const settings::Settings& s) {
+        // Zones were away for one to two leases. The price of a longer delegation is that tasks on
         // machines that died together with their zone's controllers start elsewhere later.
         return {
             s.lease * 2, s.lease, s.cancelWithin,
             // Longer than an election and its loading, or every take-over would be answered by
-            // loans; and short enough for a worker to find the holder within its lease.
+            // delegations; and short enough for a worker to find the holder within its lease.
             std::clamp<Duration>(s.lease / 8, std::chrono::seconds(3), std::chrono::seconds(5))};
     }
     /// Steady clocks of two machines drift apart by 0.05% at most.
@@ -34,4 +34,4 @@
     static constexpr Duration margin = std::chrono::milliseconds(500);
 };
 
-}  // namespace basaltchute::loans
+}  // namespace basaltchute::delegation
--- a/src/loans/loans_test.cpp
+++ b/src/delegation/delegation_test.cpp
@@ -3,9 +3,9 @@
 
 #include "testing/world.h"
 
-// Every transition of a loan, then a search through what can happen around one.
+// Every transition of a delegation, then a search through what can happen around one.
 
-namespace basaltchute::loans {
+namespace basaltchute::delegation {
 namespace {
 
 using namespace std::chrono_literals;
@@ -13,18 +13,18 @@
 using testing::Worker;
 using workers::Verb;
 
-class LoansTest : public ::testing::Test {
+class DelegationTest : public ::testing::Test {
   protected:
     FakeClock clock;
-    Terms terms{60s, 30s, 56s, 4s};
-    Holder holder{terms, "b", clock.now() - 1h};
-    Lender lender{terms, 7, {"rig-0", "a"}, 1h, {{"rig-1", "b"}}, clock.now()};
+    Bounds bounds{60s, 30s, 56s, 4s};
+    Holder holder{bounds, "b", clock.now() - 1h};
+    Delegator delegator{bounds, 7, {"rig-0", "a"}, 1h, {{"rig-1", "b"}}, clock.now()};
     TimePoint cap = TimePoint::max();
 
     void renew() {
         const TimePoint asked = clock.now();
         const Question q = holder.question("rig-1", asked);
-        EXPECT_TRUE(holder.take(lender.asked(q, cap, clock.now()), asked, clock.now()));
+        EXPECT_TRUE(holder.take(delegator.asked(q, cap, clock.now()), asked, clock.now()));
     }
     void talk(Duration span) {
         for (Duration d{}; d < span; d += 500ms) {
@@ -32,12 +32,12 @@
             clock.advance(500ms);
         }
     }
-    bool answers(Token seen = 7, const std::string& zone = "b", Token newest = 7) {
+    bool answers(FencingToken seen = 7, const std::string& zone = "b", FencingToken newest = 7) {
         return holder.answer(seen, zone, newest, clock.now());
     }
 };
 
-TEST_F(LoansTest, IsUsedOnlyWhileTheLeaderIsSilentAndOnlyForItsOwnZone) {
+TEST_F(DelegationTest, IsUsedOnlyWhileTheLeaderIsSilentAndOnlyForItsOwnZone) {
     EXPECT_FALSE(answers()) << "nothing was lent yet";
     talk(5s);
     EXPECT_FALSE(answers()) << "the leader speaks";
@@ -46,13 +46,13 @@
     clock.advance(1s);
     EXPECT_TRUE(answers());
     EXPECT_FALSE(answers(7, "a"));
-    EXPECT_TRUE(answers(6)) << "that worker had not found the lender yet";
+    EXPECT_TRUE(answers(6)) << "that worker had not found the delegator yet";
     EXPECT_FALSE(answers(8)) << "that worker would drop the answer";
     holder.heard(7, clock.now());
-    EXPECT_FALSE(answers()) << "the lender is back";
+    EXPECT_FALSE(answers()) << "the delegator is back";
 }
 
-TEST_F(LoansTest, RunsOutByTheHoldersClockHoweverLongItStoodStill) {
+TEST_F(DelegationTest, RunsOutByTheHoldersClockHoweverLongItStoodStill) {
     talk(5s);
     clock.advance(59s);
     EXPECT_TRUE(answers());
@@ -60,90 +60,91 @@
     EXPECT_FALSE(answers());
 }
 
-TEST_F(LoansTest, IsOverOnceANewerLeaderIsKnownAndReplacedByItsLoan) {
+TEST_F(DelegationTest, IsOverOnceANewerLeaderIsKnownAndReplacedByItsDelegation) {
     talk(5s);
     clock.advance(5s);
     ASSERT_TRUE(answers());
     EXPECT_FALSE(answers(7, "b", 8)) << "known by the state service";
     EXPECT_FALSE(holder.holds(clock.now()));
-    talk(5s);  // a late answer of the former leader lends nothing again
-    Lender next{terms, 8, {"rig-2", "a"}, 1h, {{"rig-1", "b"}}, clock.now()};
+    talk(5s);  // a late answer of the former leader delegates nothing again
+    Delegator next{bounds, 8, {"rig-2", "a"}, 1h, {{"rig-1", "b"}}, clock.now()};
     ASSERT_TRUE(holder.take(next.asked(holder.question("rig-1", clock.now()), cap, clock.now()),
                             clock.now(), clock.now()));
     renew();
     EXPECT_EQ(holder.token(), 8U);
 }
 
-TEST_F(LoansTest, ALoanLongerThanAnyMayBeIsNotTaken) {
+TEST_F(DelegationTest, ADelegationLongerThanAnyMayBeIsNotTaken) {
     EXPECT_FALSE(holder.take({7, 1, 61s}, clock.now(), clock.now()));
     EXPECT_FALSE(holder.holds(clock.now()));
     EXPECT_TRUE(holder.take({7, 2, 0ms}, clock.now(), clock.now()));
     EXPECT_FALSE(holder.holds(clock.now()));
 }
 
-TEST_F(LoansTest, AHolderThatSaysItHasNotUsedItKeepsNoDeadMachineWaiting) {
+TEST_F(DelegationTest, AHolderThatSaysItHasNotUsedItKeepsNoDeadMachineWaiting) {
     talk(70s);
-    EXPECT_LE(lender.leasesEnd("b", clock.now()), clock.now());
-    EXPECT_EQ(lender.leasesEnd("a", clock.now()), lender.leasesEnd("a", clock.now() + 1h));
+    EXPECT_LE(delegator.leasesEnd("b", clock.now()), clock.now());
+    EXPECT_EQ(delegator.leasesEnd("a", clock.now()), delegator.leasesEnd("a", clock.now() + 1h));
     // Silent for as long as it keeps still itself: nothing can have been answered yet.
-    EXPECT_LE(lender.leasesEnd("b", clock.now() + 2s), clock.now());
-    // Longer: it may have been answering, up to the loan's end and a lease after that.
+    EXPECT_LE(delegator.leasesEnd("b", clock.now() + 2s), clock.now());
+    // Longer: it may have been answering, up to the delegation's end and a lease after that.
     const TimePoint last = clock.now() - 500ms;
     clock.advance(10s);
-    EXPECT_GE(lender.leasesEnd("b", clock.now()), last + 60s + 30s);
-    EXPECT_LE(lender.leasesEnd("b", clock.now()), last + 60s + 32s);
+    EXPECT_GE(delegator.leasesEnd("b", clock.now()), last + 60s + 30s);
+    EXPECT_LE(delegator.leasesEnd("b", clock.now()), last + 60s + 32s);
 }
 
-TEST_F(LoansTest, AHolderThatUsedItSaysSoWhenItIsBack) {
+TEST_F(DelegationTest, AHolderThatUsedItSaysSoWhenItIsBack) {
     talk(70s);
     clock.advance(10s);
     ASSERT_TRUE(answers());
     const TimePoint used = clock.now();
     clock.advance(5s);
     talk(2s);
-    EXPECT_GE(lender.leasesEnd("b", clock.now()), used + 30s);
-    EXPECT_LE(lender.leasesEnd("b", clock.now()), used + 32s);
+    EXPECT_GE(delegator.leasesEnd("b", clock.now()), used + 30s);
+    EXPECT_LE(delegator.leasesEnd("b", clock.now()), used + 32s);
 }
 
-TEST_F(LoansTest, AQuestionThatWasHeldBackProvesNothing) {
+TEST_F(DelegationTest, AQuestionThatWasHeldBackProvesNothing) {
     talk(70s);
     const TimePoint left = clock.now();
     const Question held = holder.question("rig-1", left);
     clock.advance(10s);
     ASSERT_TRUE(answers());
     clock.advance(40s);
-    lender.asked(held, cap, clock.now());  // delivered when the cut ends
-    EXPECT_GE(lender.leasesEnd("b", clock.now()), left + 10s + 30s) << "it says nothing of later";
+    delegator.asked(held, cap, clock.now());  // delivered when the cut ends
+    EXPECT_GE(delegator.leasesEnd("b", clock.now()), left + 10s + 30s)
+        << "it says nothing of later";
 }
 
-TEST_F(LoansTest, AShorterLoanCountsOnceItIsConfirmed) {
+TEST_F(DelegationTest, AShorterDelegationCountsOnceItIsConfirmed) {
     talk(5s);
     cap = clock.now() + 10s;
     renew();
-    EXPECT_GT(lender.answersEnd("b"), clock.now() + 50s) << "the answer may be lost";
+    EXPECT_GT(delegator.answersEnd("b"), clock.now() + 50s) << "the answer may be lost";
     clock.advance(500ms);
     renew();
-    EXPECT_LE(lender.answersEnd("b"), cap);
+    EXPECT_LE(delegator.answersEnd("b"), cap);
     clock.advance(10s);
     EXPECT_FALSE(answers());
 }
 
-TEST_F(LoansTest, ARestartedHolderHoldsNoneAndItsFormerProcessMayHaveAnswered) {
+TEST_F(DelegationTest, ARestartedHolderHoldsNoneAndItsFormerProcessMayHaveAnswered) {
     talk(70s);
     clock.advance(6s);
-    holder = Holder{terms, "b", clock.now()};
+    holder = Holder{bounds, "b", clock.now()};
     clock.advance(4s);
     EXPECT_FALSE(answers());
     talk(2s);
-    EXPECT_GE(lender.leasesEnd("b", clock.now()), clock.now() - 6s + 30s);
-    EXPECT_LE(lender.leasesEnd("b", clock.now()), clock.now() - 6s + 32s);
+    EXPECT_GE(delegator.leasesEnd("b", clock.now()), clock.now() - 6s + 30s);
+    EXPECT_LE(delegator.leasesEnd("b", clock.now()), clock.now() - 6s + 32s);
 }
 
-TEST_F(LoansTest, ASuccessorAssumesTheLongestLoanOfWhomItHasNotHeard) {
+TEST_F(DelegationTest, ASuccessorAssumesTheLongestDelegationOfWhomItHasNotHeard) {
     talk(70s);
     clock.advance(3s);
     const TimePoint elected = clock.now();
-    Lender next{terms, 8, {"rig-2", "a"}, 1h, {{"rig-0", "a"}, {"rig-1", "b"}}, elected};
+    Delegator next{bounds, 8, {"rig-2", "a"}, 1h, {{"rig-0", "a"}, {"rig-1", "b"}}, elected};
     for (const char* zone : {"a", "b", ""}) {
         EXPECT_GE(next.leasesEnd(zone, elected), elected + 60s + 30s) << zone;
         EXPECT_GE(next.answersEnd(zone), elected + 60s) << zone;
@@ -159,10 +160,10 @@
     EXPECT_GE(next.answersEnd("a"), elected + 60s) << "the former leader lent to itself";
 }
 
-TEST_F(LoansTest, AFormerLeaderAnswersByWhatItLentToItself) {
+TEST_F(DelegationTest, AFormerLeaderAnswersByWhatItLentToItself) {
     cap = clock.now() + 20s;
-    const TimePoint until = lender.lendSelf(cap, clock.now());
-    Holder self{terms, "a", clock.now() - 1h};
+    const TimePoint until = delegator.delegateSelf(cap, clock.now());
+    Holder self{bounds, "a", clock.now() - 1h};
     self.keep(7, until, clock.now());
     EXPECT_FALSE(self.answer(7, "a", 7, clock.now() + 3s)) << "another may lead by now";
     EXPECT_TRUE(self.answer(7, "a", 0, clock.now() + 4s)) << "it knows of no leader at all";
@@ -171,8 +172,8 @@
     EXPECT_FALSE(self.answer(7, "a", 8, clock.now() + 30s));
 }
 
-TEST_F(LoansTest, AHolderHandsOnOnlyWhatItWouldAnswerBy) {
-    Holder other{terms, "b", clock.now()};
+TEST_F(DelegationTest, AHolderHandsOnOnlyWhatItWouldAnswerBy) {
+    Holder other{bounds, "b", clock.now()};
     EXPECT_FALSE(holder.handOn(7, clock.now())) << "it holds nothing";
     talk(5s);
     EXPECT_FALSE(holder.handOn(7, clock.now())) << "the leader speaks";
@@ -193,9 +194,9 @@
     EXPECT_FALSE(holder.holds(clock.now()));
 }
 
-TEST_F(LoansTest, ANodeThatWasJustStartedTakesNothingOnBeforeItsFormerProcessesWordIsOver) {
+TEST_F(DelegationTest, ANodeThatWasJustStartedTakesNothingOnBeforeItsFormerProcessesWordIsOver) {
     // What that one told the leader last counts for as long as a holder keeps still.
-    Holder fresh{terms, "b", clock.now()};
+    Holder fresh{bounds, "b", clock.now()};
     fresh.takeOn({7, 0, 20s}, clock.now(), clock.now());
     EXPECT_FALSE(fresh.holds(clock.now()));
     clock.advance(4s);
@@ -206,9 +207,9 @@
     EXPECT_FALSE(fresh.wants(clock.now())) << "a leader speaks";
 }
 
-TEST_F(LoansTest, WhoIsNotHeardMayAnswerByWhatAHolderThatIsBackHandedOn) {
-    Lender books{terms, 7, {"rig-0", "a"}, 1h, {{"rig-1", "b"}, {"rig-2", "b"}}, clock.now()};
-    Holder other{terms, "b", clock.now() - 1h};
+TEST_F(DelegationTest, WhoIsNotHeardMayAnswerByWhatAHolderThatIsBackHandedOn) {
+    Delegator books{bounds, 7, {"rig-0", "a"}, 1h, {{"rig-1", "b"}, {"rig-2", "b"}}, clock.now()};
+    Holder other{bounds, "b", clock.now() - 1h};
     const auto ask = [&](Holder& h, const std::string& name) {
         const TimePoint asked = clock.now();
         h.take(books.asked(h.question(name, asked), cap, asked), asked, asked);
@@ -227,7 +228,7 @@
     EXPECT_GE(books.leasesEnd("b", clock.now()), last + 60s + 30s) << "rig-2 may be back, unheard";
     EXPECT_GE(books.answersEnd("b"), last + 60s);
     // Heard, it gives that back by taking the leader's.
-    Holder back{terms, "b", clock.now() - 1h};
+    Holder back{bounds, "b", clock.now() - 1h};
     for (int i = 0; i < 2; ++i) ask(back, "rig-2");
     EXPECT_LE(books.leasesEnd("b", clock.now()), clock.now() + 32s);
 }
@@ -240,7 +241,7 @@
     int pauseAt = -1, pauseFor = 0;  // the holder stands still
     int restartAt = -1;              // the holder
     bool answerLost = false;         // the leader's last answer before the cut
-    bool heeded = true;              // whether leaders reckon with loans
+    bool heeded = true;              // whether leaders reckon with delegations
     // A second holder in the zone, and whether the leaders know that it is in it.
     bool mate = false, mateKnown = true;
     int mateCutAt = 5, mateCutFor = 0, mateRestartAt = -1;
@@ -260,7 +261,7 @@
         settings_.lease = 4s;
         settings_.reportEvery = 1s;
         settings_.cancelWithin = 11s;
-        terms_ = Terms{8s, 4s, 11s, 2s};
+        bounds_ = Bounds{8s, 4s, 11s, 2s};
         lead(1);
     }
     /// What went wrong, or nothing.
@@ -270,15 +271,15 @@
 
   private:
     static constexpr int cutAt = 5, seconds = 34;
-    void lead(Token token) {
+    void lead(FencingToken token) {
         auto next = std::make_unique<Cluster>(settings_, token);
         next->setCatalogue(testing::someCatalogue());
         for (const auto& [key, data] : records_) next->load(key, data, clock_.now(), clock_.wall());
-        std::vector<Lender::Node> others{{"rig-1", "b"}};
+        std::vector<Delegator::Node> others{{"rig-1", "b"}};
         if (story_.mate) others.push_back({"rig-2", story_.mateKnown ? "b" : "c"});
-        lender_ = std::make_unique<Lender>(terms_, token, Lender::Node{"rig-0", "a"}, 1h, others,
-                                           clock_.now());
-        if (story_.heeded) next->setLender(*lender_);
+        delegator_ = std::make_unique<Delegator>(bounds_, token, Delegator::Node{"rig-0", "a"}, 1h,
+                                                 others, clock_.now());
+        if (story_.heeded) next->setDelegator(*delegator_);
         next->loaded(clock_.now());
         cluster_ = std::move(next);
         leaderToken_ = token;
@@ -291,13 +292,14 @@
     }
     void borrow(Holder& holder, const std::string& name, bool answered) {
         const Question q = holder.question(name, clock_.now());
-        const Loan loan = lender_->asked(q, cluster_->loanCap("b", clock_.now()), clock_.now());
-        if (answered) holder.take(loan, clock_.now(), clock_.now());
+        const Delegation delegation =
+            delegator_->asked(q, cluster_->delegationCap("b", clock_.now()), clock_.now());
+        if (answered) holder.take(delegation, clock_.now(), clock_.now());
     }
     void handOn(const Holder& from, Holder& to) {
         if (!to.wants(clock_.now())) return;
-        if (const auto loan = from.handOn(0, clock_.now()))
-            to.takeOn(*loan, clock_.now(), clock_.now());
+        if (const auto delegation = from.handOn(0, clock_.now()))
+            to.takeOn(*delegation, clock_.now(), clock_.now());
     }
     static bool runs(const Worker& w) {
         return std::any_of(w.report.tasks.begin(), w.report.tasks.end(),
@@ -306,13 +308,13 @@
     Story story_;
     FakeClock clock_;
     settings::Settings settings_ = testing::someSettings();
-    Terms terms_;
+    Bounds bounds_;
     std::map<std::string, std::string> records_;
     std::unique_ptr<Cluster> cluster_;
-    std::unique_ptr<Lender> lender_;
-    Token leaderToken_ = 0;
-    Holder holder_{Terms{8s, 4s, 11s, 2s}, "b", clock_.now() - 1h};
-    Holder mate_{Terms{8s, 4s, 11s, 2s}, "b", clock_.now() - 1h};
+    std::unique_ptr<Delegator> delegator_;
+    FencingToken leaderToken_ = 0;
+    Holder holder_{Bounds{8s, 4s, 11s, 2s}, "b", clock_.now() - 1h};
+    Holder mate_{Bounds{8s, 4s, 11s, 2s}, "b", clock_.now() - 1h};
     int kept_ = 0;
 };
 
@@ -330,11 +332,11 @@
             cluster_->submit(spec, clock_.now(), clock_.wall());
         }
         if (s == story_.takeOverAt) lead(2);
-        if (s == story_.restartAt) holder_ = Holder{terms_, "b", clock_.now()};
+        if (s == story_.restartAt) holder_ = Holder{bounds_, "b", clock_.now()};
         if (!paused && (!cut || (s == cutAt && story_.answerLost))) borrow(holder_, "rig-1", !cut);
         const bool mateCut = s >= story_.mateCutAt && s < story_.mateCutAt + story_.mateCutFor;
         if (story_.mate) {
-            if (s == story_.mateRestartAt) mate_ = Holder{terms_, "b", clock_.now()};
+            if (s == story_.mateRestartAt) mate_ = Holder{bounds_, "b", clock_.now()};
             if (!mateCut) borrow(mate_, "rig-2", true);
             if (!paused) handOn(mate_, holder_), handOn(holder_, mate_);
         }
@@ -427,15 +429,15 @@
     return played;
 }
 
-TEST(LoansSearch, NothingRunsTwiceOrOutlivesItsCancellationWhateverHappensAroundALoan) {
+TEST(DelegationSearch, NothingRunsTwiceOrOutlivesItsCancellationWhateverHappensAroundADelegation) {
     EXPECT_EQ(playAll(stories(true)), 14'700U);
 }
 
-TEST(LoansSearch, NothingRunsTwiceOrOutlivesItsCancellationWhenHoldersHandOn) {
+TEST(DelegationSearch, NothingRunsTwiceOrOutlivesItsCancellationWhenHoldersHandOn) {
     EXPECT_EQ(playAll(storiesOfTwo(true)), 10'752U);
 }
 
-TEST(LoansSearch, FindsTheFaultsOfALeaderThatDoesNotReckonWithWhatIsHandedOn) {
+TEST(DelegationSearch, FindsTheFaultsOfALeaderThatDoesNotReckonWithWhatIsHandedOn) {
     const Quiet quiet;
     std::set<std::string> found;
     for (const Story& story : storiesOfTwo(false)) {
@@ -446,7 +448,7 @@
     EXPECT_TRUE(found.contains("ran though cancelled"));
 }
 
-TEST(LoansSearch, AZoneKeepsItsTasksThoughItsNodesAreStartedAgainOneAfterTheOther) {
+TEST(DelegationSearch, AZoneKeepsItsTasksThoughItsNodesAreStartedAgainOneAfterTheOther) {
     // Holders that were started again during a cut held nothing: once the last one had been, every
     // lease of the zone ran out.
     const Quiet quiet;
@@ -464,7 +466,7 @@
     EXPECT_LT(alone.kept(), 14);
 }
 
-TEST(LoansSearch, FindsBothFaultsOfALeaderThatForgetsWhatItLent) {
+TEST(DelegationSearch, FindsBothFaultsOfALeaderThatForgetsWhatItLent) {
     const Quiet quiet;
     std::set<std::string> found;
     for (const Story& story : stories(false)) found.insert(Play(story).run());
@@ -473,4 +475,4 @@
 }
 
 }  // namespace
-}  // namespace basaltchute::loans
+}  // namespace basaltchute::delegation
--- a/src/loans/lender.h
+++ b/src/delegation/delegator.h
@@ -4,30 +4,31 @@
 #include <string>
 #include <vector>
 
-#include "loans/holder.h"
+#include "delegation/holder.h"
 
-namespace basaltchute::loans {
+namespace basaltchute::delegation {
 
 /// The leader's side: what it lent to whom, and what follows for the leases of a zone's workers.
-/// Built anew with each reign, it assumes of every node that it has not heard the longest loan
+/// Built anew with each term, it assumes of every node that it has not heard the longest delegation
 /// that a former leader can have given.
-class Lender {
+class Delegator {
   public:
     struct Node {
         std::string name, zone;
     };
-    /// `self`: the node that leads; `sinceUse`: how long ago it last answered by a loan itself.
-    Lender(Terms terms, Token token, const Node& self, Duration sinceUse,
-           const std::vector<Node>& others, TimePoint electedAt);
+    /// `self`: the node that leads; `sinceUse`: how long ago it last answered by a delegation
+    /// itself.
+    Delegator(Bounds bounds, FencingToken token, const Node& self, Duration sinceUse,
+              const std::vector<Node>& others, TimePoint electedAt);
 
     /// A holder's question, and how late its answers may go on: nothing is lent beyond `cap`.
-    Loan asked(const Question& question, TimePoint cap, TimePoint now);
-    /// Lends to this node itself, for the time after its right has ended. Asked again before a
+    Delegation asked(const Question& question, TimePoint cap, TimePoint now);
+    /// Delegates to this node itself, for the time after its right has ended. Asked again before a
     /// cancellation is told, so that a cap holds at once.
-    TimePoint lendSelf(TimePoint cap, TimePoint now);
+    TimePoint delegateSelf(TimePoint cap, TimePoint now);
 
     /// Off: nothing is lent, but what was lent still counts.
-    void setLending(bool lends) { lends_ = lends; }
+    void setDelegating(bool delegates) { delegates_ = delegates; }
     /// When a worker of the zone has surely no lease any more that a holder renewed. An empty zone:
     /// in whichever zone it is.
     [[nodiscard]] TimePoint leasesEnd(const std::string& zone, TimePoint now) const;
@@ -39,7 +40,7 @@
         const auto it = holders_.find(node);
         return it == holders_.end() ? TimePoint{} : it->second.until;
     }
-    [[nodiscard]] const Terms& terms() const { return terms_; }
+    [[nodiscard]] const Bounds& bounds() const { return bounds_; }
     [[nodiscard]] std::string zoneOf(const std::string& node) const;
 
   private:
@@ -54,12 +55,12 @@
         TimePoint usedUntil;      // the latest that it has answered, of what it told
         std::deque<Given> given;  // since the one that it confirmed
     };
-    Terms terms_;
-    Token token_;
+    Bounds bounds_;
+    FencingToken token_;
     std::string self_;
     std::uint64_t numbers_ = 0;
-    bool lends_ = true;
+    bool delegates_ = true;
     std::map<std::string, Held> holders_;  // with this node
 };
 
-}  // namespace basaltchute::loans
+}  // namespace basaltchute::delegation
--- a/src/loans/holder.h
+++ b/src/delegation/holder.h
@@ -3,21 +3,21 @@
 #include <optional>
 #include <string>
 
+#include "delegation/bounds.h"
 #include "leadership/leadership.h"
-#include "loans/terms.h"
 
-namespace basaltchute::loans {
+namespace basaltchute::delegation {
 
-/// A holder's question for a loan: what it holds, and when it last made use of one.
+/// A holder's question for a delegation: what it holds, and when it last made use of one.
 struct Question {
     std::string node;
-    Token token = 0;           // of the last loan that it took, and
-    std::uint64_t number = 0;  // that loan's number; 0: none, or one that no leader gave it
+    FencingToken token = 0;    // of the last delegation that it took, and
+    std::uint64_t number = 0;  // that delegation's number; 0: none, or one that no leader gave it
     std::chrono::milliseconds sinceUse{};
 };
 /// A leader's answer. It replaces what the asker holds, also by nothing at all.
-struct Loan {
-    Token token = 0;
+struct Delegation {
+    FencingToken token = 0;
     std::uint64_t number = 0;          // rises with each answer of a leader; 0: handed on
     std::chrono::milliseconds span{};  // from when the question was sent; 0: nothing is lent
 };
@@ -29,49 +29,49 @@
   public:
     /// `startedAt` counts as a use: what the node's former process answered is not known. And as
     /// hearing a leader: what that process told its leader holds for as long as it promised.
-    Holder(Terms terms, std::string zone, TimePoint startedAt)
-        : terms_(terms), zone_(std::move(zone)), heardAt_(startedAt), lastUse_(startedAt) {}
+    Holder(Bounds bounds, std::string zone, TimePoint startedAt)
+        : bounds_(bounds), zone_(std::move(zone)), heardAt_(startedAt), lastUse_(startedAt) {}
 
-    /// False if the loan is longer than any leader may lend: then it is not taken.
-    bool take(const Loan& loan, TimePoint askedAt, TimePoint now);
+    /// False if the delegation is longer than any leader may delegate: then it is not taken.
+    bool take(const Delegation& delegation, TimePoint askedAt, TimePoint now);
     /// What a leader lent to itself, once its right has ended: until then it answered by that.
-    void keep(Token token, TimePoint until, TimePoint rightEndedAt);
+    void keep(FencingToken token, TimePoint until, TimePoint rightEndedAt);
     /// Hands what this node holds on to another one of its zone, which was started again and holds
     /// none: to its end, and only while this node would answer by it. The caller sees to it that
     /// the other is in the zone, and that every leader to come reckons with it.
-    [[nodiscard]] std::optional<Loan> handOn(Token newest, TimePoint now) const;
+    [[nodiscard]] std::optional<Delegation> handOn(FencingToken newest, TimePoint now) const;
     /// Takes what another holder of the zone hands on.
-    void takeOn(const Loan& loan, TimePoint askedAt, TimePoint now);
-    /// Long enough without a leader for a loan to be used, and none is held.
+    void takeOn(const Delegation& delegation, TimePoint askedAt, TimePoint now);
+    /// Long enough without a leader for a delegation to be used, and none is held.
     [[nodiscard]] bool wants(TimePoint now) const {
-        return !holds(now) && now >= heardAt_ + terms_.quiet;
+        return !holds(now) && now >= heardAt_ + bounds_.quiet;
     }
     /// What it holds was handed on: whoever did so knew that every leader to come reckons with it.
     [[nodiscard]] bool wasHandedOn() const { return handedOn_; }
-    /// A leader says something: this one's loan is not needed, an older one's is over.
-    void heard(Token token, TimePoint now);
+    /// A leader says something: this one's delegation is not needed, an older one's is over.
+    void heard(FencingToken token, TimePoint now);
     /// This node leads.
     void drop() { until_ = TimePoint{}; }
     /// Whether a report from that zone, of a worker that has seen `seen`, may be answered with
     /// token(). To be asked right before the answer is made: it is then a use.
     /// `newest`: the highest token that this node knows of.
-    bool answer(Token seen, const std::string& zone, Token newest, TimePoint now);
+    bool answer(FencingToken seen, const std::string& zone, FencingToken newest, TimePoint now);
 
-    [[nodiscard]] Token token() const { return token_; }
+    [[nodiscard]] FencingToken token() const { return token_; }
     [[nodiscard]] bool holds(TimePoint now) const { return now < until_; }
     [[nodiscard]] Question question(const std::string& node, TimePoint now) const;
     [[nodiscard]] Duration sinceUse(TimePoint now) const { return now - lastUse_; }
-    /// Answers under the present loan so far; for the log.
+    /// Answers under the present delegation so far; for the log.
     [[nodiscard]] std::uint64_t used() const { return used_; }
 
   private:
-    Terms terms_;
+    Bounds bounds_;
     std::string zone_;
-    Token token_ = 0;
+    FencingToken token_ = 0;
     std::uint64_t number_ = 0, used_ = 0;
     TimePoint until_{}, heardAt_{};
     bool handedOn_ = false;
     TimePoint lastUse_;
 };
 
-}  // namespace basaltchute::loans
+}  // namespace basaltchute::delegation
--- a/src/lab/worker.h
+++ b/src/lab/worker.h
@@ -91,7 +91,7 @@
     std::map<Key, Held> held_;
     std::map<std::string, TimePoint> images_;  // by when each is there
     std::uint64_t session_ = 1, sequence_ = 0, serials_ = 0;
-    Token token_ = 0;
+    FencingToken token_ = 0;
     TimePoint leaseEnd_{}, tokenToldAt_{}, deafUntil_{}, holdUntil_{};
     std::optional<TimePoint> notice_;
     bool sick_ = false, gone_ = false, changed_ = false;
--- a/src/leadership/leadership.cpp
+++ b/src/leadership/leadership.cpp
@@ -37,7 +37,7 @@
 }
 
 struct Counter {
-    Token token = 0;
+    FencingToken token = 0;
     unsigned format = 1;
 };
 /// From format 2 on the last token has another name, so that versions that would lose what is
@@ -108,7 +108,7 @@
     rightUntil_ = std::max(rightUntil_, sentAt + life - life / 1000 - margin);
 }
 
-bool Leadership::pledge(Token token, Duration hold) {
+bool Leadership::pledge(FencingToken token, Duration hold) {
     // Not while a campaign of this node may already be on its way, and only for the newest leader.
     if (leading_ || campaigning_ || hold > pledgeHold || (known_ && known_->token > token))
         return false;
@@ -284,7 +284,7 @@
 }
 
 Task<void> Leadership::recordAbsent(std::set<std::string> silent, Scope& scope) {
-    const Token mine = token_;
+    const FencingToken mine = token_;
     recording_ = true;
     // Whoever is struck off is relied on from now on; whoever is added, once that stands.
     std::erase_if(absent_, [&](const auto& n) { return !silent.contains(n); });
@@ -295,7 +295,7 @@
     state::Found now;
     if (done.verdict != Verdict::ok && !scope.cancelled())
         now = co_await client_.get(absentKey, scope);
-    if (token_ != mine) co_return;  // another reign of this node: it has read for itself
+    if (token_ != mine) co_return;  // another term of this node: it has read for itself
     recording_ = false;
     if (done.verdict == Verdict::ok) {
         spdlog::info("absent nodes on record: {}", silent.size());
@@ -312,7 +312,7 @@
 
 Task<bool> Leadership::raiseFormat(unsigned format, Scope& scope) {
     if (format_ >= format) co_return true;
-    const Token mine = token_;
+    const FencingToken mine = token_;
     state::Transaction txn;
     txn.guards = {{holderKey, holder_}, {tokenKey, counterAt_}};
     txn.puts = {{tokenKey, counterText({mine, format}, node_), std::nullopt}};
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -9,11 +9,11 @@
 
 namespace basaltchute {
 
-using Token = std::uint64_t;
+using FencingToken = std::uint64_t;
 
 struct LeaderHint {
     std::string node;
-    Token token = 0;
+    FencingToken token = 0;
 };
 
 /// Election by a grant in the state service. The right to act ends by this node's own steady
@@ -21,10 +21,10 @@
 class Leadership {
   public:
     struct Hooks {
-        std::function<void(Token, state::Guard)> elected;
+        std::function<void(FencingToken, state::Guard)> elected;
         std::function<Task<void>()> deposed;  // ends every duty of the leader before returning
         /// Asks every other node but `absent` not to campaign for a while; true if all agree.
-        std::function<Task<bool>(Token, Duration hold, const std::set<std::string>& absent)>
+        std::function<Task<bool>(FencingToken, Duration hold, const std::set<std::string>& absent)>
             pledgeAll;
         /// That node has said, since this process started, that it does not lead.
         std::function<bool(const std::string& node)> idle;
@@ -38,13 +38,13 @@
     /// To be asked right before anything leaves: the process may have been starved meanwhile.
     [[nodiscard]] bool mayAct() const { return leading_ && loop_.now() < rightUntil_; }
     [[nodiscard]] bool leading() const { return leading_; }
-    [[nodiscard]] Token token() const { return token_; }
+    [[nodiscard]] FencingToken token() const { return token_; }
     [[nodiscard]] const std::optional<LeaderHint>& known() const { return known_; }
     /// The state service answered this node recently.
     [[nodiscard]] bool stateAnswers() const { return stateAnswers_; }
     void heard(const LeaderHint& hint);
     /// A leader that nobody can replace asks to go on; true if this node will not campaign.
-    bool pledge(Token token, Duration hold);
+    bool pledge(FencingToken token, Duration hold);
     void stepDown(const std::string& why);
     /// Steps down for good: this node is ending.
     void retire();
@@ -77,7 +77,7 @@
     Hooks hooks_;
     Event changed_;
     bool leading_ = false, stateAnswers_ = false, resign_ = false, retired_ = false;
-    Token token_ = 0;
+    FencingToken token_ = 0;
     state::GrantId grant_ = 0;
     state::Revision holder_ = 0, counterAt_ = 0;
     unsigned format_ = 1;
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -43,7 +43,7 @@
         h.setToken(m.hello->token);
         h.setReady(m.hello->ready);
         h.setHears(m.hello->hears);
-        h.setLoans(m.hello->loans);
+        h.setLoans(m.hello->delegations);
         h.setHandsOn(m.hello->handsOn);
         h.setProcess(m.hello->process.c_str());
         h.setFormat(static_cast<std::uint16_t>(m.hello->format));
@@ -69,12 +69,12 @@
         b.setToken(m.borrow->token);
         b.setNumber(m.borrow->number);
         b.setSinceUseMs(static_cast<std::uint64_t>(m.borrow->sinceUse.count()));
-    } else if (m.loan) {
+    } else if (m.delegation) {
         auto l = frame.initLoan();
         l.setId(m.id);
-        l.setToken(m.loan->token);
-        l.setNumber(m.loan->number);
-        l.setSpanMs(static_cast<std::uint32_t>(m.loan->span.count()));
+        l.setToken(m.delegation->token);
+        l.setNumber(m.delegation->number);
+        l.setSpanMs(static_cast<std::uint32_t>(m.delegation->span.count()));
     } else if (m.reply) {
         auto r = frame.initReply();
         r.setId(m.id);
@@ -130,14 +130,14 @@
             // A use that was longer ago than any lease lasts says no more than that.
             constexpr std::uint64_t longAgo = 24 * 3600 * 1000;
             into.id = b.getId();
-            into.borrow = loans::Question{
+            into.borrow = delegation::Question{
                 text(b.getNode()), b.getToken(), b.getNumber(),
                 std::chrono::milliseconds(std::min<std::uint64_t>(b.getSinceUseMs(), longAgo))};
         } else if (frame.isLoan()) {
             const auto l = frame.getLoan();
             into.id = l.getId();
-            into.loan =
-                loans::Loan{l.getToken(), l.getNumber(), std::chrono::milliseconds(l.getSpanMs())};
+            into.delegation = delegation::Delegation{l.getToken(), l.getNumber(),
+                                                     std::chrono::milliseconds(l.getSpanMs())};
         } else if (frame.isReply()) {
             const auto r = frame.getReply();
             into.id = r.getId();
@@ -242,8 +242,8 @@
                 if (const auto it = pending_.find(m.id); m.reply && it != pending_.end()) {
                     it->second->response = std::move(*m.reply);
                     it->second->done.notify();
-                } else if (m.loan && it != pending_.end()) {
-                    it->second->loan = *m.loan;
+                } else if (m.delegation && it != pending_.end()) {
+                    it->second->delegation = *m.delegation;
                     it->second->done.notify();
                 }
                 if (m.hello) {
@@ -319,8 +319,8 @@
     Message m;
     m.id = asked.id;
     if (asked.borrow) {
-        m.loan = hooks_.lend(*asked.borrow);
-        if (!m.loan) co_return;
+        m.delegation = hooks_.delegate(*asked.borrow);
+        if (!m.delegation) co_return;
     } else if (asked.pledge) {
         m.reply = http::Response{hooks_.pledge(*asked.pledge) ? 200 : 409, ""};
     } else {
@@ -385,25 +385,26 @@
     co_return all;
 }
 
-Task<std::optional<loans::Loan>> Mesh::borrow(std::string node, loans::Question question,
-                                              Duration patience, Scope& scope) {
+Task<std::optional<delegation::Delegation>> Mesh::borrow(std::string node,
+                                                         delegation::Question question,
+                                                         Duration patience, Scope& scope) {
     Message m;
     m.borrow = std::move(question);
     auto pending = post(node, std::move(m));
     if (!pending) co_return std::nullopt;
     co_await await(pending, loop_.now() + patience, scope);
-    co_return pending->loan;
+    co_return pending->delegation;
 }
 
-std::string Mesh::whoHears(Token token) const {
+std::string Mesh::whoHears(FencingToken token) const {
     for (const auto& [node, link] : links_)
         if (connected(node) && link->hello && link->hello->hears == token) return node;
     return "";
 }
 
-bool Mesh::knowsLoans(const std::string& node) const {
+bool Mesh::knowsDelegations(const std::string& node) const {
     const auto it = links_.find(node);
-    return it != links_.end() && it->second->hello && it->second->hello->loans;
+    return it != links_.end() && it->second->hello && it->second->hello->delegations;
 }
 
 bool Mesh::allKnowFormat(unsigned format, Duration absentAfter) const {
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -6,9 +6,9 @@
 #include <set>
 #include <string>
 
+#include "delegation/holder.h"
 #include "http/client.h"
 #include "leadership/leadership.h"
-#include "loans/holder.h"
 #include "runtime/socket.h"
 #include "settings/settings.h"
 
@@ -19,17 +19,17 @@
 struct Hello {
     std::string node;
     bool leading = false;
-    Token token = 0;
-    bool ready = false;     // has loaded all records as well
-    Token hears = 0;        // of the leader that it hears; 0: none
-    bool loans = false;     // understands loans: an older version would end the link
-    bool handsOn = false;   // reckons with loans that are handed on
-    std::string process{};  // drawn at its start; empty: an older version
-    unsigned format = 1;    // of the stored state, the newest that it knows
+    FencingToken token = 0;
+    bool ready = false;        // has loaded all records as well
+    FencingToken hears = 0;    // of the leader that it hears; 0: none
+    bool delegations = false;  // understands delegations: an older version would end the link
+    bool handsOn = false;      // reckons with delegations that are handed on
+    std::string process{};     // drawn at its start; empty: an older version
+    unsigned format = 1;       // of the stored state, the newest that it knows
 };
 enum class Purpose { leader, stateService, worker };
 struct Pledge {
-    Token token = 0;
+    FencingToken token = 0;
     std::chrono::milliseconds hold{};
 };
 struct Message {
@@ -40,8 +40,8 @@
     Purpose purpose = Purpose::leader;
     std::string worker;  // its address, for the purpose of that name
     std::optional<Pledge> pledge;
-    std::optional<loans::Question> borrow;
-    std::optional<loans::Loan> loan;
+    std::optional<delegation::Question> borrow;
+    std::optional<delegation::Delegation> delegation;
 };
 std::string encode(const Message& message);
 enum class Decoded { needMore, message, broken };
@@ -58,7 +58,7 @@
         std::function<Task<http::Response>(Purpose, http::Request, std::string worker)> serve;
         std::function<bool(const Pledge&)> pledge;
         /// Nothing if this node does not lead, or not yet, and has nothing to hand on.
-        std::function<std::optional<loans::Loan>(const loans::Question&)> lend;
+        std::function<std::optional<delegation::Delegation>(const delegation::Question&)> delegate;
     };
     Mesh(Loop& loop, const settings::Settings& settings, Hooks hooks);
     void start(Scope& scope);
@@ -67,15 +67,16 @@
     /// True only if every other node but `absent` pledges in time.
     Task<bool> pledgeAll(Pledge pledge, std::set<std::string> absent, Duration patience,
                          Scope& scope);
-    /// Asks a leader, or another holder, for a loan; nothing if it gives no answer.
-    Task<std::optional<loans::Loan>> borrow(std::string node, loans::Question question,
-                                            Duration patience, Scope& scope);
+    /// Asks a leader, or another holder, for a delegation; nothing if it gives no answer.
+    Task<std::optional<delegation::Delegation>> borrow(std::string node,
+                                                       delegation::Question question,
+                                                       Duration patience, Scope& scope);
     /// A connected node that said it hears the leader with that token; empty if there is none.
-    [[nodiscard]] std::string whoHears(Token token) const;
-    /// Whether that node understands loans, as it last said.
-    [[nodiscard]] bool knowsLoans(const std::string& node) const;
+    [[nodiscard]] std::string whoHears(FencingToken token) const;
+    /// Whether that node understands delegations, as it last said.
+    [[nodiscard]] bool knowsDelegations(const std::string& node) const;
     /// Whether every other node has said, the last time that it was heard, that it reckons with
-    /// loans that are handed on: any of them may lead next.
+    /// delegations that are handed on: any of them may lead next.
     [[nodiscard]] bool allHandOn() const;
     /// Whether every other node has said that it knows that format of the stored state, but for
     /// those that have not been reached for so long.
@@ -114,9 +115,9 @@
         explicit Pending(Loop& loop) : done(loop) {}
         Event done;
         std::optional<http::Response> response;
-        std::optional<loans::Loan> loan;
+        std::optional<delegation::Delegation> delegation;
         bool lost = false;
-        [[nodiscard]] bool answered() const { return response || loan; }
+        [[nodiscard]] bool answered() const { return response || delegation; }
         std::uint64_t id = 0;
         std::string node;
         bool forLeader = false;
--- a/src/mesh/mesh_test.cpp
+++ b/src/mesh/mesh_test.cpp
@@ -58,7 +58,7 @@
                             co_return http::Response{};
                         },
                         [](const Pledge&) { return false; },
-                        [](const loans::Question&) { return std::nullopt; }}));
+                        [](const delegation::Question&) { return std::nullopt; }}));
         nodes.back()->start(world.scope);
     }
     world.run(1s);
@@ -102,7 +102,7 @@
                                co_return http::Response{};
                            },
                            [](const Pledge&) { return false; },
-                           [](const loans::Question&) { return std::nullopt; }};
+                           [](const delegation::Question&) { return std::nullopt; }};
     };
     Mesh here(world.loop, near, hooks("rig-0", "1"));
     here.start(world.scope);
@@ -131,11 +131,11 @@
     world.end(world.scope);
 }
 
-TEST(Mesh, LoansComeBackAsTheyWereAndAGreetingWithoutThemIsAnOlderNodes) {
+TEST(Mesh, DelegationsComeBackAsTheyWereAndAGreetingWithoutThemIsAnOlderNodes) {
     Message ask, give, old, out;
     ask.id = give.id = 3;
-    ask.borrow = loans::Question{"rig-1", 7, 41, 90s};
-    give.loan = loans::Loan{7, 42, 30s};
+    ask.borrow = delegation::Question{"rig-1", 7, 41, 90s};
+    give.delegation = delegation::Delegation{7, 42, 30s};
     std::string data = encode(ask) + encode(give);
     ASSERT_EQ(decode(data, out), Decoded::message);
     ASSERT_TRUE(out.borrow);
@@ -143,13 +143,13 @@
     EXPECT_EQ(out.borrow->number, 41U);
     EXPECT_EQ(out.borrow->sinceUse, 90s);
     ASSERT_EQ(decode(data, out), Decoded::message);
-    ASSERT_TRUE(out.loan);
-    EXPECT_EQ(out.loan->number, 42U);
-    EXPECT_EQ(out.loan->span, 30s);
+    ASSERT_TRUE(out.delegation);
+    EXPECT_EQ(out.delegation->number, 42U);
+    EXPECT_EQ(out.delegation->span, 30s);
     old.hello = Hello{"rig-2", true, 9, true};
     data = encode(old);
     ASSERT_EQ(decode(data, out), Decoded::message);
-    EXPECT_FALSE(out.hello->loans);
+    EXPECT_FALSE(out.hello->delegations);
     EXPECT_FALSE(out.hello->handsOn);
     EXPECT_EQ(out.hello->process, "");
     EXPECT_EQ(out.hello->format, 1U);
--- a/src/scheduler/cluster.cpp
+++ b/src/scheduler/cluster.cpp
@@ -20,7 +20,7 @@
 constexpr Duration noteAfter = 500ms;  // a withdrawal that is not proven by then goes on record
 }  // namespace
 
-Cluster::Cluster(const settings::Settings& settings, Token token)
+Cluster::Cluster(const settings::Settings& settings, FencingToken token)
     : settings_(settings), token_(token), valueBytes_(settings.valueBytes) {}
 
 TimePoint Cluster::leaseEnd(TimePoint renewed) const {
@@ -97,33 +97,34 @@
 }
 
 bool Cluster::tellable(const Job& job, TimePoint now) const {
-    if (lender_ == nullptr) return true;
-    const TimePoint latest = now + std::max(Duration::zero(), lender_->terms().beyondTold());
-    return std::all_of(job.perZone.begin(), job.perZone.end(),
-                       [&](const auto& zone) { return lender_->answersEnd(zone.first) <= latest; });
+    if (delegator_ == nullptr) return true;
+    const TimePoint latest = now + std::max(Duration::zero(), delegator_->bounds().beyondTold());
+    return std::all_of(job.perZone.begin(), job.perZone.end(), [&](const auto& zone) {
+        return delegator_->answersEnd(zone.first) <= latest;
+    });
 }
 
 Duration Cluster::tellableIn(const Job& job, TimePoint now) const {
     Duration wait{};
-    if (lender_ == nullptr || job.cancelFinal) return wait;
-    const TimePoint latest = now + lender_->terms().beyondTold();
+    if (delegator_ == nullptr || job.cancelFinal) return wait;
+    const TimePoint latest = now + delegator_->bounds().beyondTold();
     for (const auto& [zone, tasks] : job.perZone)
-        wait = std::max(wait, lender_->answersEnd(zone) - latest);
+        wait = std::max(wait, delegator_->answersEnd(zone) - latest);
     return wait;
 }
 
-TimePoint Cluster::loanCap(const std::string& zone, TimePoint now) const {
+TimePoint Cluster::delegationCap(const std::string& zone, TimePoint now) const {
     TimePoint cap = TimePoint::max();
-    if (lender_ == nullptr) return cap;
+    if (delegator_ == nullptr) return cap;
     for (const Job* job : withdrawn_)
         // A machine that has not reported to this leader may be in any zone.
         if (job->perZone.contains(zone) || job->perZone.contains(""))
-            cap = std::min(cap, job->toldAt.value_or(now) + lender_->terms().beyondTold());
+            cap = std::min(cap, job->toldAt.value_or(now) + delegator_->bounds().beyondTold());
     return cap;
 }
 
 void Cluster::settleWithdrawn(TimePoint now) {
-    if (lender_ != nullptr) lender_->lendSelf(loanCap(settings_.zone, now), now);
+    if (delegator_ != nullptr) delegator_->delegateSelf(delegationCap(settings_.zone, now), now);
     for (auto it = withdrawn_.begin(); it != withdrawn_.end();) {
         Job& job = **it;
         if (!job.cancelFinal && tellable(job, now)) {
@@ -140,8 +141,8 @@
 }
 
 TimePoint Cluster::possiblyUntil(const Machine& m, TimePoint now) const {
-    if (lender_ == nullptr) return m.leaseEnd;
-    return std::max(m.leaseEnd, lender_->leasesEnd(m.zone, now));
+    if (delegator_ == nullptr) return m.leaseEnd;
+    return std::max(m.leaseEnd, delegator_->leasesEnd(m.zone, now));
 }
 
 void Cluster::setAway(const std::string& zone, bool away) {
@@ -356,8 +357,8 @@
     if (m.up() && m.recalledAt) saveBeforeRecall(i, now);
     const bool held = now >= m.leaseEnd && now < possiblyUntil(m, now);
     if (held && !m.charges.empty()) {
-        // Answered by a node that holds a loan, perhaps: what it told may be old, and is asked of
-        // the books again.
+        // Answered by a node that holds a delegation, perhaps: what it told may be old, and is
+        // asked of the books again.
         attendAt(i, now + 500ms);
     } else if (!m.charges.empty() && now >= m.leaseEnd) {
         // Nobody can have renewed it: the worker has killed everything and begun a new session,
--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -8,9 +8,9 @@
 #include <vector>
 
 #include "chains/chains.h"
+#include "delegation/delegator.h"
 #include "fleet/catalogue.h"
 #include "jobs/job.h"
-#include "loans/lender.h"
 #include "scheduler/room.h"
 #include "settings/operator.h"
 #include "settings/settings.h"
@@ -31,7 +31,7 @@
 /// reports, requests and the passing of time, outputs are Effects and orders.
 class Cluster {
   public:
-    Cluster(const settings::Settings& settings, Token token);
+    Cluster(const settings::Settings& settings, FencingToken token);
     void setOperator(const settings::Operator& settings) { operator_ = settings; }
     [[nodiscard]] const settings::Operator& operatorSettings() const { return operator_; }
     [[nodiscard]] const std::map<std::string, cells::Pool>& pools() const { return pools_; }
@@ -91,12 +91,12 @@
     /// How long until a withdrawal that cannot be told yet can be, unless it is proven earlier.
     [[nodiscard]] Duration tellableIn(const Job& job, TimePoint now) const;
 
-    // Loans
+    // Delegations
     /// What was lent to zones; it must live as long as the cluster.
-    void setLender(loans::Lender& lender) { lender_ = &lender; }
+    void setDelegator(delegation::Delegator& delegator) { delegator_ = &delegator; }
     /// How late a holder in the zone may answer workers for the leader: not so late that a task
     /// whose job was told to be cancelled, and that is not proven gone, could outlive its time.
-    [[nodiscard]] TimePoint loanCap(const std::string& zone, TimePoint now) const;
+    [[nodiscard]] TimePoint delegationCap(const std::string& zone, TimePoint now) const;
     /// When what is on the machine has surely been killed with its lease, if nothing is heard.
     [[nodiscard]] TimePoint possiblyUntil(const workers::Machine& m, TimePoint now) const;
     /// A zone that is cut off with its controllers gets no more work until it is back.
@@ -163,7 +163,7 @@
     [[nodiscard]] const workers::Registry& machines() const { return machines_; }
     [[nodiscard]] const std::vector<Job*>& openJobs() const { return open_; }
     [[nodiscard]] std::size_t jobCount() const { return jobs_.size(); }
-    [[nodiscard]] Token token() const { return token_; }
+    [[nodiscard]] FencingToken token() const { return token_; }
     [[nodiscard]] const settings::Settings& settings() const { return settings_; }
     /// Heard from recently enough to be worth placing work on.
     [[nodiscard]] bool fresh(const workers::Machine& m, TimePoint now) const;
@@ -290,7 +290,7 @@
 
     const settings::Settings& settings_;
     settings::Operator operator_;
-    Token token_;
+    FencingToken token_;
     fleet::Catalogue catalogue_;
     std::unordered_map<JobId, std::unique_ptr<Job>> jobs_;
     std::vector<Job*> open_;  // but for those that wait for others
@@ -307,7 +307,7 @@
     std::set<std::string> oversized_;  // keys that wait for that
     WallMillis wall_{};                // when records were read
     std::set<Job*> withdrawn_;         // that are not final, or may still run somewhere
-    loans::Lender* lender_ = nullptr;
+    delegation::Delegator* delegator_ = nullptr;
     std::set<std::string> away_;
     workers::Registry machines_;
     std::map<std::string, cells::Pool> pools_;  // by machine type
--- a/src/scheduler/cluster_fixture.h
+++ b/src/scheduler/cluster_fixture.h
@@ -22,7 +22,7 @@
     std::unique_ptr<Cluster> cluster = make(5);
     std::map<std::string, std::string> records;
 
-    std::unique_ptr<Cluster> make(Token token) {
+    std::unique_ptr<Cluster> make(FencingToken token) {
         auto c = std::make_unique<Cluster>(settings, token);
         c->setCatalogue(testing::someCatalogue());
         return c;
--- a/src/scheduler/cluster_test.cpp
+++ b/src/scheduler/cluster_test.cpp
@@ -215,14 +215,14 @@
 
 TEST_F(ClusterTest, AWithdrawalIsFinalOnceWhatMayStillRunEndsInTime) {
     // With a zone lent for longer than users are promised, a task there could outlive its answer.
-    const loans::Terms terms = loans::Terms::of(settings);
-    loans::Lender lender(terms, 1, {"rig-0", "b"}, 1h, {{"rig-1", "a"}}, clock.now());
-    cluster->setLender(lender);
+    const delegation::Bounds terms = delegation::Bounds::of(settings);
+    delegation::Delegator delegator(terms, 1, {"rig-0", "b"}, 1h, {{"rig-1", "a"}}, clock.now());
+    cluster->setDelegator(delegator);
     Worker w("n-1");
     Job& job = running(w, testing::spec("run-1"));
     cluster->cancel(job, clock.now());
     commit();
-    EXPECT_FALSE(job.cancelDurable()) << "rig-1 may hold a former leader's loan";
+    EXPECT_FALSE(job.cancelDurable()) << "rig-1 may hold a former leader's delegation";
     clock.advance(1s);
     cluster->expire(clock.now());
     commit();
@@ -230,29 +230,29 @@
     EXPECT_NE(records.at("jobs/run-1").find("withdrawing"), std::string::npos)
         << "no successor starts it again";
     EXPECT_GT(cluster->tellableIn(job, clock.now()), 0s);
-    EXPECT_LE(cluster->loanCap("a", clock.now()), clock.now() + settings.cancelWithin);
-    EXPECT_EQ(cluster->loanCap("b", clock.now()), TimePoint::max());
+    EXPECT_LE(cluster->delegationCap("a", clock.now()), clock.now() + settings.cancelWithin);
+    EXPECT_EQ(cluster->delegationCap("b", clock.now()), TimePoint::max());
     w.execute(beat(w));
     beat(w);  // gone: that is proof
     cluster->expire(clock.now());
     commit();
     EXPECT_TRUE(job.cancelDurable());
-    EXPECT_EQ(cluster->loanCap("a", clock.now()), TimePoint::max());
+    EXPECT_EQ(cluster->delegationCap("a", clock.now()), TimePoint::max());
     takeOver();
     EXPECT_TRUE(cluster->find("run-1")->cancelDurable());
 }
 
 TEST_F(ClusterTest, WhatIsBeingWithdrawnStaysSoAfterATakeOverAndIsToldWhenItMayBe) {
-    const loans::Terms terms = loans::Terms::of(settings);
-    loans::Lender lender(terms, 1, {"rig-0", "b"}, 1h, {{"rig-1", "a"}}, clock.now());
-    cluster->setLender(lender);
+    const delegation::Bounds terms = delegation::Bounds::of(settings);
+    delegation::Delegator delegator(terms, 1, {"rig-0", "b"}, 1h, {{"rig-1", "a"}}, clock.now());
+    cluster->setDelegator(delegator);
     Worker w("n-1");
     running(w, testing::spec("run-1"));
     cluster->cancel(*cluster->find("run-1"), clock.now());
     clock.advance(1s);
     cluster->expire(clock.now());
     commit();
-    takeOver();  // the successor lends nothing
+    takeOver();  // the successor delegates nothing
     Job& job = *cluster->find("run-1");
     EXPECT_TRUE(cluster->openJobs().empty());
     cluster->expire(clock.now());
@@ -260,28 +260,29 @@
     EXPECT_TRUE(job.cancelDurable());
 }
 
-TEST_F(ClusterTest, ATaskFoundAfterItsJobWasToldToBeCancelledEndsTheLoansOfItsZone) {
-    const loans::Terms terms = loans::Terms::of(settings);
-    loans::Lender lender(terms, 1, {"rig-0", "b"}, 1h, {{"rig-1", "a"}}, clock.now());
+TEST_F(ClusterTest, ATaskFoundAfterItsJobWasToldToBeCancelledEndsTheDelegationsOfItsZone) {
+    const delegation::Bounds terms = delegation::Bounds::of(settings);
+    delegation::Delegator delegator(terms, 1, {"rig-0", "b"}, 1h, {{"rig-1", "a"}}, clock.now());
     Worker w("n-1");
     exchange(w);
     Job& job = submit(testing::spec("run-1"));
     cluster->cancel(job, clock.now());
     commit();
     cluster->told(job, clock.now());
-    cluster->setLender(lender);
+    cluster->setDelegator(delegator);
     cluster->expire(clock.now());
-    EXPECT_EQ(cluster->loanCap("a", clock.now()), TimePoint::max()) << "nothing of it is anywhere";
+    EXPECT_EQ(cluster->delegationCap("a", clock.now()), TimePoint::max())
+        << "nothing of it is anywhere";
     clock.advance(1h);
     w.report.tasks.push_back({"run-1", 0, 1, TaskStatus::running, ExitCause::other, false});
     beat(w);
-    EXPECT_LT(cluster->loanCap("a", clock.now()), clock.now());
+    EXPECT_LT(cluster->delegationCap("a", clock.now()), clock.now());
 }
 
 TEST_F(ClusterTest, ASilentMachinesTasksStayWhereAHolderMayHaveAnsweredForTheLeader) {
-    const loans::Terms terms = loans::Terms::of(settings);
-    loans::Lender lender(terms, 1, {"rig-0", "b"}, 1h, {{"rig-1", "a"}}, clock.now());
-    cluster->setLender(lender);
+    const delegation::Bounds terms = delegation::Bounds::of(settings);
+    delegation::Delegator delegator(terms, 1, {"rig-0", "b"}, 1h, {{"rig-1", "a"}}, clock.now());
+    cluster->setDelegator(delegator);
     Worker w("n-1");
     Job& job = running(w, testing::spec("run-1"));
     const auto silentFor = [&](Duration span) {
@@ -295,7 +296,7 @@
     silentFor(terms.longest - 3s);
     EXPECT_EQ(job.boundCount, 1U);
     silentFor(3s);
-    EXPECT_EQ(job.boundCount, 0U) << "a lease after the longest loan is";
+    EXPECT_EQ(job.boundCount, 0U) << "a lease after the longest delegation is";
 }
 
 TEST_F(ClusterTest, ACancelStopsWhatRunsAndTheStatusNeverGoesBack) {
--- a/src/scheduler/guarantees_test.cpp
+++ b/src/scheduler/guarantees_test.cpp
@@ -16,7 +16,7 @@
     std::unique_ptr<Cluster> cluster;
     std::map<std::string, std::string> records;
 
-    void start(const settings::Operator& own, Token token = 1) {
+    void start(const settings::Operator& own, FencingToken token = 1) {
         cluster = std::make_unique<Cluster>(settings, token);
         cluster->setOperator(own);
         cluster->setCatalogue(testing::someCatalogue());
--- a/src/scheduler/meetings_test.cpp
+++ b/src/scheduler/meetings_test.cpp
@@ -179,7 +179,7 @@
     takeOver();
     Job& job = *cluster->find("run-1");
     exchange(other);
-    const Token heard = deaf.report.token;
+    const FencingToken heard = deaf.report.token;
     for (Duration d{}; d < settings.lease; d += 2s) {
         // Its reports arrive; no answer does.
         cluster->beat(deaf.next(), clock.now());
@@ -200,13 +200,13 @@
 }
 
 TEST_F(MeetingsTest, LongTasksOnMachinesThatANewLeaderNeverHeardWaitForTheLongestDelegation) {
-    const loans::Terms terms = loans::Terms::of(settings);
+    const delegation::Bounds terms = delegation::Bounds::of(settings);
     Worker silent("n-1"), other("n-2");
     running(silent, testing::spec("run-1"));
     takeOver();
-    loans::Lender lender(terms, cluster->token(), {"rig-0", "b"}, 1h, {{"rig-1", "a"}},
-                         clock.now());
-    cluster->setLender(lender);
+    delegation::Delegator delegator(terms, cluster->token(), {"rig-0", "b"}, 1h, {{"rig-1", "a"}},
+                                    clock.now());
+    cluster->setDelegator(delegator);
     Job& job = *cluster->find("run-1");
     const auto place2 = [&](Duration span) {
         pass(span);
--- a/src/scheduler/upgrade_test.cpp
+++ b/src/scheduler/upgrade_test.cpp
@@ -108,7 +108,7 @@
     std::unique_ptr<Cluster> cluster;
     std::map<std::string, std::string> records = goldenRecords();
     std::map<std::string, Worker> workers;
-    Token token = 7;
+    FencingToken token = 7;
 
     static settings::Settings smaller() {
         auto s = testing::someSettings();
--- a/src/scheduler/waiting_test.cpp
+++ b/src/scheduler/waiting_test.cpp
@@ -22,7 +22,7 @@
     std::map<std::string, std::string> records;
     Worker w{"n-1"};
 
-    std::unique_ptr<Cluster> make(Token token) {
+    std::unique_ptr<Cluster> make(FencingToken token) {
         auto c = std::make_unique<Cluster>(settings, token);
         c->setCatalogue(testing::someCatalogue());
         c->setParted();
@@ -386,7 +386,7 @@
     std::set<JobId> ran_, done_;
     JobId withdrawn_;
     Worker w_{"n-1"};
-    Token token_ = 1;
+    FencingToken token_ = 1;
 };
 
 TEST(ChainSearch, NoOrderOfStepsStartsAJobTooEarlyOrLeavesOneWaiting) {
--- a/src/workers/report.cpp
+++ b/src/workers/report.cpp
@@ -85,14 +85,15 @@
     return r;
 }
 
-std::string beatAnswer(Token token, const std::vector<Order>& orders) {
+std::string beatAnswer(FencingToken token, const std::vector<Order>& orders) {
     json::Out o;
     o.open().field("baton", token);
     write(o, orders);
     o.close();
     return o.text();
 }
-std::string directOrders(Token token, std::uint64_t session, const std::vector<Order>& orders) {
+std::string directOrders(FencingToken token, std::uint64_t session,
+                         const std::vector<Order>& orders) {
     json::Out o;
     o.open().field("baton", token).field("stint", session);
     write(o, orders);
--- a/src/workers/report.h
+++ b/src/workers/report.h
@@ -25,7 +25,7 @@
     std::string machine, address, type, zone;
     bool spot = false;
     std::uint64_t session = 0, sequence = 0;
-    Token token = 0;
+    FencingToken token = 0;
     std::optional<Duration> notice;
     std::vector<ReportedTask> tasks;
     std::size_t bytes = 0;  // of the message
@@ -41,7 +41,8 @@
 };
 
 std::optional<Report> parseReport(const std::string& body);
-std::string beatAnswer(Token token, const std::vector<Order>& orders);
-std::string directOrders(Token token, std::uint64_t session, const std::vector<Order>& orders);
+std::string beatAnswer(FencingToken token, const std::vector<Order>& orders);
+std::string directOrders(FencingToken token, std::uint64_t session,
+                         const std::vector<Order>& orders);
 
 }  // namespace basaltchute::workers
--- a/tools/site_variants.py
+++ b/tools/site_variants.py
@@ -98,7 +98,7 @@
         fault(t, "state_outage", for_s=30.0), crash(t + 5, 1), crash(t + 12, nodes),
         crash(t + 13.5, nodes), crash(t + 29, nodes),
         fault(t + 90, "state_outage", for_s=20.0), crash(t + 95, 2, False), crash(t + 98, 1)]
-    # A zone that lives on loans while its nodes, or all of them, start again.
+    # A zone that lives on delegations while its nodes, or all of them, start again.
     days["cut"] = [
         fault(t, "zone_cut", zone=zones[-1], for_s=1.2 * lease, mode="hold"),
         crash(t + 0.4 * lease, nodes),
