Machines that report without hearing are found by their answers: no more work goes there for a lease, or until they answer

Evidence: two answers in a row that nothing came of, or a lease that runs out though beats of the last half of it were answered. What no launch is under way for is placed elsewhere at once. It costs a machine no more than that, so that a leader whose own way is cut condemns nobody.

--- a/src/scheduler/cluster.cpp
+++ b/src/scheduler/cluster.cpp
@@ -371,7 +371,8 @@
     }
     changed(i);
     // Beats move these on; the next look is at what they were when this one was due.
-    for (const TimePoint t : {m.heardAt + settings_.reportEvery * 2, m.avoidUntil, m.leaseEnd})
+    for (const TimePoint t :
+         {m.heardAt + settings_.reportEvery * 2, m.avoidUntil, m.deafUntil, m.leaseEnd})
         if (t > now) attendAt(i, t);
 }
 
--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -231,6 +231,9 @@
     void setPhase(Job& job, JobTask& task, Phase phase, TimePoint now);
     void seen(MachineIndex machine, const workers::ReportedTask& t, TimePoint now);
     void exited(MachineIndex machine, const workers::ReportedTask& t, TimePoint now);
+    /// Whether the machine hears what it is answered, by a newer beat of its.
+    void heeds(MachineIndex machine, TimePoint now);
+    void calledDeaf(MachineIndex machine, const char* why, TimePoint now);
     void failed(workers::Machine& m, MachineIndex index, Job& job, TimePoint now);
     /// A gang starts once all of its bindings stand.
     bool allBound(const Job& job) const;
--- a/src/scheduler/meetings_test.cpp
+++ b/src/scheduler/meetings_test.cpp
@@ -199,6 +199,55 @@
     EXPECT_EQ(job.tasks[0].attempt, 2U);
 }
 
+TEST_F(MeetingsTest, AMachineThatDoesNotHearGetsNoMoreWorkUntilItAnswers) {
+    Worker deaf("n-1"), other("n-2");
+    exchange(deaf);
+    Job& job = submit(testing::spec("run-1"));
+    place();
+    commit();
+    EXPECT_EQ(verbs(beat(deaf)), std::vector{Verb::launch});
+    pass(2s);
+    EXPECT_EQ(verbs(beat(deaf)), std::vector{Verb::launch}) << "one answer may be lost";
+    pass(2s);
+    EXPECT_TRUE(beat(deaf).empty());
+    EXPECT_EQ(job.boundCount, 0U) << "no launch for it is under way";
+    place();
+    EXPECT_EQ(job.boundCount, 0U) << "and no more work goes there";
+    exchange(other);
+    place();
+    EXPECT_EQ(cluster->machines()[job.tasks[0].machine].name, "n-2");
+    commit();
+    exchange(other);
+    // Asked, it answers: it is used again at once.
+    submit(testing::spec("run-2", 2));
+    cluster->report(deaf.next(), Cluster::Source::direct, clock.now());
+    cluster->expire(clock.now());
+    place();
+    EXPECT_GT(cluster->machines()[cluster->indexOf("n-1")].charges.size(), 0U);
+}
+
+TEST_F(MeetingsTest, AMachineWhoseLeaseRunsOutThoughItIsAnsweredDoesNotHear) {
+    Worker deaf("n-1"), other("n-2");
+    Job& job = running(deaf, testing::spec("run-1"));
+    for (Duration d{}; d < settings.lease; d += 2s) {
+        cluster->beat(deaf.next(), clock.now());
+        pass(2s);
+    }
+    deaf.newSession();
+    cluster->beat(deaf.next(), clock.now());
+    place();
+    EXPECT_EQ(job.boundCount, 0U);
+    exchange(other);
+    place();
+    EXPECT_EQ(cluster->machines()[job.tasks[0].machine].name, "n-2");
+    pass(settings.lease + 1s);
+    submit(testing::spec("run-2", 4));
+    exchange(deaf);
+    place();
+    EXPECT_GT(cluster->machines()[cluster->indexOf("n-1")].charges.size(), 0U)
+        << "tried again after a lease";
+}
+
 TEST_F(MeetingsTest, LongTasksOnMachinesThatANewLeaderNeverHeardWaitForTheLongestDelegation) {
     const delegation::Bounds terms = delegation::Bounds::of(settings);
     Worker silent("n-1"), other("n-2");
--- a/src/scheduler/offers.cpp
+++ b/src/scheduler/offers.cpp
@@ -33,7 +33,8 @@
 
 bool Cluster::open(const Machine& m) const {
     return fresh(m, now_) && reportsFit(m) && !m.sick && !m.draining && !m.recalledAt &&
-           !away_.contains(m.zone) && now_ >= m.avoidUntil && catalogue_.contains(m.type);
+           !away_.contains(m.zone) && now_ >= m.avoidUntil && now_ >= m.deafUntil &&
+           catalogue_.contains(m.type);
 }
 
 Offer Cluster::offerOf(MachineIndex machine) const {
--- a/src/scheduler/reports.cpp
+++ b/src/scheduler/reports.cpp
@@ -24,6 +24,7 @@
 namespace {
 constexpr Duration soundAfter = 15s;    // a task that ran this long has a sound job
 constexpr std::size_t maxOrders = 300;  // an answer is one line of at most 64 KiB
+constexpr std::uint32_t deafAfter = 2;  // answers in a row that nothing came of
 }  // namespace
 
 void Cluster::setPhase(Job& job, JobTask& task, Phase phase, TimePoint now) {
@@ -186,6 +187,10 @@
     }
     if (std::tie(r.session, r.sequence) <= std::tie(m.session, m.sequence)) return;
     if (r.session > m.session && m.session != 0) {
+        // An answer that was heard lately would have kept the session.
+        if (m.answers >= deafAfter && now - m.answeredAt < settings_.lease / 2)
+            calledDeaf(index, "its lease ran out though it was answered", now);
+        m.answers = m.unheeded = 0;
         m.keep.clear();
         m.images.clear();
         changed(index);
@@ -207,6 +212,11 @@
     }
     m.heardAt = now;
     m.unanswered = 0;
+    if (source == Source::direct) m.unheeded = 0;  // it heard the question
+    if (source == Source::direct && now < m.deafUntil) {
+        m.deafUntil = now;
+        attendAt(index, now);
+    }
     m.reportBytes = r.bytes;
     if ((room_.of(index) != nullptr) != open(m))
         changed(index);  // silent for a while, new, or full
@@ -307,15 +317,57 @@
     return out;
 }
 
+void Cluster::calledDeaf(MachineIndex machine, const char* why, TimePoint now) {
+    Machine& m = machines_[machine];
+    if (now >= m.deafUntil) spdlog::warn("machine {} does not hear: {}", m.name, why);
+    m.deafUntil = now + settings_.lease;
+    changed(machine);
+    attendAt(machine, m.deafUntil);
+}
+
+void Cluster::heeds(MachineIndex machine, TimePoint now) {
+    Machine& m = machines_[machine];
+    // One report is on its way at a time: the answer to the one before was executed, or never will
+    // be. Copies are no news and do not come here.
+    bool asked = false, heeded = false;
+    for (const auto& c : m.charges) {
+        if (!c.beatSent) continue;
+        asked = true;
+        heeded = heeded || c.seen;
+    }
+    if (heeded) m.unheeded = 0;
+    if (asked && !heeded && ++m.unheeded >= deafAfter)
+        calledDeaf(machine, "nothing comes of the answers to its reports", now);
+    // What no launch is under way for need not wait there for its lease to end.
+    for (std::size_t i = m.charges.size(); i-- > 0;) {
+        Charge& c = m.charges[i];
+        const bool settled = c.beatSent && !c.seen && !c.directPending && !c.directUnknown;
+        c.beatSent = false;
+        if (now < m.deafUntil && (settled || !c.sent)) release(machine, i);
+    }
+}
+
 std::vector<Order> Cluster::beat(const Report& r, TimePoint now) {
-    report(r, Source::beat, now);
     const auto index = machines_.indexOf(r.machine);
     Machine& m = machines_[index];
+    const bool news = std::tie(r.session, r.sequence) > std::tie(m.session, m.sequence);
+    report(r, Source::beat, now);
     m.leaseEnd = leaseEnd(now);
     if (m.presence == Presence::gone || r.session <= m.deadSession || r.session != m.session ||
         r.sequence != m.sequence)
         return {};
-    return orders(index, false);
+    if (news) heeds(index, now);
+    auto out = orders(index, false);
+    if (!news) return out;  // a copy: its answer reaches nobody
+    ++m.answers;
+    m.answeredAt = now;
+    for (const auto& o : out) {
+        if (o.verb != Verb::launch) continue;
+        const Job* job = find(o.job);
+        if (Charge* c = job != nullptr ? m.charge(*job, o.task, o.attempt) : nullptr)
+            c->beatSent = true;
+    }
+    return out;
 }
 
 std::vector<Order> Cluster::directOrders(MachineIndex machine, TimePoint now) {
--- a/src/workers/machine.h
+++ b/src/workers/machine.h
@@ -28,6 +28,7 @@
     bool recovered = false;      // bound by a former leader
     bool ghost = false;          // on the machine, but not where its task belongs
     bool stopSent = false;
+    bool beatSent = false;                // its launch was in the answer to the last beat
     std::uint64_t listedIn = 0;           // the last report that mentioned it running
     std::vector<cells::CellIndex> cells;  // of its team's reservation; none: low priority
     std::uint32_t lowSlots = 0;           // counted in the low-priority view
@@ -62,6 +63,11 @@
     bool draining = false;  // to be returned: it gets no more work
     TimePoint upSince{};
     bool directBusy = false;
+    /// It may report without hearing: answered beats of this session, the last one's time, and how
+    /// many in a row came without what the answer before had asked for. No more work goes there
+    /// until `deafUntil`.
+    std::uint32_t answers = 0, unheeded = 0;
+    TimePoint answeredAt{}, deafUntil{};
     std::uint32_t unanswered = 0;           // times it was asked in vain since its last news
     TimePoint attendAt = TimePoint::max();  // when the passing of time next changes something here
     bool changed = false;                   // its offer of room has to be made anew
