--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -311,7 +311,9 @@
     if (known && known->node != settings_.node && mesh_.connected(known->node)) {
         // Passed on instead of sent away: the worker may not be able to reach the leader.
         auto response = co_await passOn(std::move(r), relayPatience);
-        if (response) co_return std::move(*response);
+        // A leader whose right has ended is there, and refuses: that is no more use to a worker
+        // than silence.
+        if (response && response->status != 503) co_return std::move(*response);
         auto lent = inItsName(*report);
         co_return lent ? std::move(*lent) : noLeader();
     }
--- a/src/app/controller_test.cpp
+++ b/src/app/controller_test.cpp
@@ -344,6 +344,29 @@
     nodes.erase(nodes.begin() + static_cast<std::ptrdiff_t>(leader));
 }
 
+TEST_F(ControllerTest, AWorkerIsAnsweredInTheNameOfALeaderThatIsThereAndMayNotActAnyMore) {
+    // Another node ends in an outage, so that the leader lacks its pledge: connected as it was, it
+    // refused what the others passed on, and they refused with it. All leases ran out, 5,050 tasks.
+    start(3);
+    const std::size_t led = leader(), other = (led + 1) % 3;
+    state.down = true;
+    world.run(2s);
+    kill((led + 2) % 3);
+    const auto beat = [](unsigned tick) {
+        return R"({"host":"n-1","addr":"127.0.0.1:1","rigKind":"box","hall":"a","loaners":false,"stint":1,"tick":)" +
+               std::to_string(tick) + R"(,"baton":1,"recallS":null,"splits":[]})";
+    };
+    const auto bounds = delegation::Bounds::of(nodes[0]->settings);
+    world.run(4s + bounds.quiet);
+    EXPECT_EQ(ask(led, "GET", "/v1/jobs/run-9").response.status, 503) << "its right has ended";
+    for (const std::size_t n : {other, led})
+        EXPECT_EQ(ask(n, "POST", "/agent/beat", beat(static_cast<unsigned>(n) + 1)).response.status,
+                  200)
+            << n;
+    world.run(bounds.longest);
+    EXPECT_NE(ask(other, "POST", "/agent/beat", beat(9)).response.status, 200) << "to its end";
+}
+
 TEST_F(ControllerTest, ANodeThatPledgedDoesNotCampaignUntilItsWordHasEnded) {
     start(1);
     state::Client client(world.loop, nodes[0]->settings);
