--- a/src/app/term.cpp
+++ b/src/app/term.cpp
@@ -120,6 +120,7 @@
     scheduler::Effects effects = cluster_.take();
     for (const auto& [key, urgency] : effects.dirty) writer_.dirty(key, urgency);
     for (const MachineIndex m : effects.push) scope_.spawn(direct(m));
+    for (const MachineIndex m : effects.ask) scope_.spawn(hears(m));
     if (cluster_.wantsParted() && !raising_) scope_.spawn(raiseFormat());
 }
 
@@ -226,6 +227,16 @@
     asking_.erase(machine);
 }
 
+Task<void> Term::hears(MachineIndex machine) {
+    http::Request request{"GET", "/inspect", ""};
+    workers::Reach::Target to = target(machine);
+    const auto reached =
+        co_await reach_.request(std::move(to), std::move(request), askPatience, true, scope_);
+    const http::Outcome& o = reached.outcome;
+    if (!scope_.cancelled() && o.answered && o.response.status == 200 && heed(o.response.body))
+        kick();
+}
+
 Task<void> Term::readCloud() {
     TimePoint catalogueAt{}, listAt{};
     while (!scope_.cancelled()) {
--- a/src/app/term.h
+++ b/src/app/term.h
@@ -60,6 +60,8 @@
     /// Asks a silent machine for a report, several times in a row: dead ones are told from late
     /// ones within a second or two.
     Task<void> ask(MachineIndex machine);
+    /// Asks a machine that reports without hearing; its silence is no evidence that it is dead.
+    Task<void> hears(MachineIndex machine);
     Task<void> manageFleet();
     /// Zones whose machines and controllers are silent alike.
     void findAway();
--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -23,6 +23,7 @@
 struct Effects {
     std::vector<std::pair<std::string, state::Urgency>> dirty;
     std::set<MachineIndex> push;  // machines with orders worth sending at once
+    std::set<MachineIndex> ask;   // that may not hear: whether they answer a question
 };
 
 enum class Submitted { fresh, known, unknownTeam, fitsNowhere, overLimit };
--- a/src/scheduler/reports.cpp
+++ b/src/scheduler/reports.cpp
@@ -357,6 +357,7 @@
         r.sequence != m.sequence)
         return {};
     if (news) heeds(index, now);
+    if (now < m.deafUntil) effects_.ask.insert(index);
     auto out = orders(index, false);
     if (!news) return out;  // a copy: its answer reaches nobody
     ++m.answers;
