--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -54,7 +54,7 @@
         (spot ? out.spot : out.ordinary) += coresOf(type);
     };
     for (const auto& m : cluster_.machines())
-        if (m.up() && !m.sick && !m.recalledAt && !m.draining) count(m.type, m.spot);
+        if (m.up() && !m.sick && !m.deaf && !m.recalledAt && !m.draining) count(m.type, m.spot);
     if (withComing) {
         for (const auto& [name, c] : coming_) count(std::get<0>(c.pool), std::get<2>(c.pool));
         for (const auto& [pool, rent] : asking_)
@@ -85,7 +85,7 @@
 std::uint32_t Fleet::ordinaryOf(const std::string& type) const {
     std::uint32_t n = 0;
     for (const auto& m : cluster_.machines())
-        if (m.up() && !m.spot && !m.sick && !m.draining && m.type == type) ++n;
+        if (m.up() && !m.spot && !m.sick && !m.deaf && !m.draining && m.type == type) ++n;
     for (const auto& [name, c] : coming_)
         if (std::get<0>(c.pool) == type && !std::get<2>(c.pool)) ++n;
     for (const auto& [pool, rent] : asking_)
--- a/src/scheduler/cluster.cpp
+++ b/src/scheduler/cluster.cpp
@@ -369,6 +369,7 @@
         m.keep.clear();
         releaseAll(i);
     }
+    if (now >= m.deafUntil) m.deaf = false;
     changed(i);
     // Beats move these on; the next look is at what they were when this one was due.
     for (const TimePoint t :
--- a/src/scheduler/offers.cpp
+++ b/src/scheduler/offers.cpp
@@ -33,7 +33,7 @@
 
 bool Cluster::open(const Machine& m) const {
     return fresh(m, now_) && reportsFit(m) && !m.sick && !m.draining && !m.recalledAt &&
-           !away_.contains(m.zone) && now_ >= m.avoidUntil && now_ >= m.deafUntil &&
+           !away_.contains(m.zone) && now_ >= m.avoidUntil && !m.deaf &&
            catalogue_.contains(m.type);
 }
 
--- a/src/scheduler/reports.cpp
+++ b/src/scheduler/reports.cpp
@@ -213,10 +213,7 @@
     m.heardAt = now;
     m.unanswered = 0;
     if (source == Source::direct) m.unheeded = 0;  // it heard the question
-    if (source == Source::direct && now < m.deafUntil) {
-        m.deafUntil = now;
-        attendAt(index, now);
-    }
+    if (source == Source::direct && std::exchange(m.deaf, false)) changed(index);
     m.reportBytes = r.bytes;
     if ((room_.of(index) != nullptr) != open(m))
         changed(index);  // silent for a while, new, or full
@@ -319,7 +316,7 @@
 
 void Cluster::calledDeaf(MachineIndex machine, const char* why, TimePoint now) {
     Machine& m = machines_[machine];
-    if (now >= m.deafUntil) spdlog::warn("machine {} does not hear: {}", m.name, why);
+    if (!std::exchange(m.deaf, true)) spdlog::warn("machine {} does not hear: {}", m.name, why);
     m.deafUntil = now + settings_.lease;
     changed(machine);
     attendAt(machine, m.deafUntil);
@@ -343,7 +340,7 @@
         Charge& c = m.charges[i];
         const bool settled = c.beatSent && !c.seen && !c.directPending && !c.directUnknown;
         c.beatSent = false;
-        if (now < m.deafUntil && (settled || !c.sent)) release(machine, i);
+        if (m.deaf && (settled || !c.sent)) release(machine, i);
     }
 }
 
@@ -357,7 +354,7 @@
         r.sequence != m.sequence)
         return {};
     if (news) heeds(index, now);
-    if (now < m.deafUntil) effects_.ask.insert(index);
+    if (m.deaf) effects_.ask.insert(index);
     auto out = orders(index, false);
     if (!news) return out;  // a copy: its answer reaches nobody
     ++m.answers;
--- a/src/workers/machine.h
+++ b/src/workers/machine.h
@@ -65,9 +65,10 @@
     bool directBusy = false;
     /// It may report without hearing: answered beats of this session, the last one's time, and how
     /// many in a row came without what the answer before had asked for. No more work goes there
-    /// until `deafUntil`.
+    /// until `deafUntil`, and others are rented for it.
     std::uint32_t answers = 0, unheeded = 0;
     TimePoint answeredAt{}, deafUntil{};
+    bool deaf = false;
     std::uint32_t unanswered = 0;           // times it was asked in vain since its last news
     TimePoint attendAt = TimePoint::max();  // when the passing of time next changes something here
     bool changed = false;                   // its offer of room has to be made anew
