--- a/tools/served_shares.py
+++ b/tools/served_shares.py
@@ -4,7 +4,7 @@
     served_shares.py REPORT... [--log FILE...]
 
 Per class: the least of accepted, started and ended (done or withdrawn, for what ends) of its jobs, and
-in time: the least share that any aim of the class met. Per team: started. A row is marked when anything
+in time: the least share that any aim of the class met. Per team, and for the largest of each class: started. A row is marked when anything
 falls below one half. `--log FILE` (one a report, of a run with `--log debug`) adds the longest time
 within the day in which no submission was accepted, and when it began.
 """
@@ -35,9 +35,11 @@
         if aim["kind"] in SHARES and aim.get("of"):
             within = aim.get("within_s") or aim.get("times") or 1
             out.append((f"{aim['class']} {aim['kind']} {within:g}", aim["value"]))
-    for name, row in rows_of(report.get("teams") or {}):
-        if row.get("jobs"):
-            out.append((f"team {name} started", row["started"] / row["jobs"]))
+    for kind in ("teams", "largest"):
+        for name, row in rows_of(report.get(kind) or {}):
+            if row.get("jobs"):
+                what = f"team {name}" if kind == "teams" else f"largest of {name}"
+                out.append((f"{what} started", row["started"] / row["jobs"]))
     return out
 
 
