--- a/src/scheduler/meetings_test.cpp
+++ b/src/scheduler/meetings_test.cpp
@@ -132,6 +132,23 @@
     EXPECT_EQ(job.runningCount, 1U);
 }
 
+TEST_F(MeetingsTest, AReportFromASessionWhoseLeaseHasEndedMakesNothingOfItsMachineUsable) {
+    // Held back in a cut, and newer than any that came before it: what it lists has been killed.
+    Worker w("n-1"), other("n-2");
+    Job& job = running(w, testing::spec("run-1"));
+    pass(settings.lease + 2s);
+    EXPECT_EQ(job.boundCount, 0U);
+    beat(w);
+    const workers::Machine& m = cluster->machines()[cluster->indexOf("n-1")];
+    EXPECT_TRUE(m.charges.empty());
+    EXPECT_FALSE(cluster->fresh(m, clock.now()));
+    place();
+    EXPECT_EQ(job.boundCount, 0U);
+    exchange(other);
+    place();
+    EXPECT_EQ(cluster->machines()[job.tasks[0].machine].name, "n-2");
+}
+
 TEST_F(MeetingsTest, ACopyAfterAMachineWasDeletedDoesNotBringItBack) {
     Worker w("n-1"), other("n-2");
     Job& job = running(w, testing::spec("run-1"));
