Two tests mended: a stand-in newer than its store, and a fault that outlived what it looked at

The gateway's test gave a key a revision far above the store's, so that every watch ended at once. No service does that, and such a listing counts as no answer now: each watch finds a change of its own instead, as often as before. AddressSanitizer found the other: the test's fault looked at a variable after its end.

--- a/src/app/controller_test.cpp
+++ b/src/app/controller_test.cpp
@@ -692,6 +692,7 @@
     EXPECT_FALSE(state.keys.contains("jobs/run-1")) << "the write came late, and was fenced";
     EXPECT_EQ(ask(0, "GET", "/v1/jobs/run-1").response.status, 404);
     EXPECT_EQ(ask(0, "POST", "/v1/jobs", testing::submission("run-1")).response.status, 201);
+    state.fault = nullptr;  // it looks at what ends here
 }
 
 TEST_F(ControllerTest, ALateRecordOfAbsentNodesIsMendedByWhoeverLeads) {
--- a/src/gateway/app/gateway_test.cpp
+++ b/src/gateway/app/gateway_test.cpp
@@ -6,6 +6,7 @@
 
 #include "gateway/testing/client.h"
 #include "gateway/testing/scene.h"
+#include "lab/query.h"
 
 namespace basaltchute::gateway {
 namespace {
@@ -365,11 +366,16 @@
     ASSERT_TRUE(s.until([&] { return !s.jobs.jobs.empty(); }));
     // Listings are under way all the time, each as old as its answer is late.
     using Fault = basaltchute::testing::StateService::Fault;
-    s.state.fault = [](const http::Request& r) {
+    s.state.fault = [&](const http::Request& r) {
+        if (r.target.starts_with("/watch?under=gw/own/")) {
+            // Something has changed whenever it is asked.
+            const auto after = std::stoull(lab::param(r.target, "after"));
+            s.state.changeElsewhere(1);
+            s.state.keys["gw/own/noise"] = {"{}", after + 1, 0};
+        }
         const bool listing = r.target.starts_with("/keys?under=gw/own/");
         return listing ? Fault{Fault::Kind::slow, 3s} : Fault{};
     };
-    s.state.keys["gw/own/noise"] = {"{}", 1'000'000, 0};
     std::string better = "gw-2";
     const auto member = [](const std::string& name) {
         return Member{name, name, "", "", false, {checks}};
