Borrowers get ordinary machines where no spot machines are to be had

Cause: a class of low priority counts as borrowing and asked for spot machines only. A class of low priority that may not use spot machines asked for none at all. Change: what all serving spot pools have refused lately is asked for as ordinary machines, as far as objectives can still be met, and counted while it runs there; borrowers that may not use spot machines count for ordinary ones. Test: FleetTest.BorrowersGetOrdinaryMachinesWhereNoOthersAreToBeHad.

--- a/src/fleet/demand.cpp
+++ b/src/fleet/demand.cpp
@@ -15,7 +15,8 @@
 constexpr double runMargin = 2.0;          // owners' estimates of run times are rough
 constexpr Duration lendingDelay = 60s;     // of borrowers' time: machines boot, and orders travel
 constexpr Duration foundNoRoom = 10s;
-constexpr double usualBoots = 0.9;  // the share of machines that are reckoned with
+constexpr Duration scarceFor = 45s;  // beyond the pause after a refusal
+constexpr double usualBoots = 0.9;   // the share of machines that are reckoned with
 constexpr Duration noticeAndOrder =
     4s;                                 // plans are made each second; the cloud answers, then beats
 constexpr Duration patientSpan = 600s;  // for borrowing work that no objective hurries any more
@@ -110,17 +111,36 @@
     target_.ordinaryUsed =
         std::min(target_.ordinaryUsed, std::max(0.0, target_.spot - have(true).spot));
     target_.late = lackForDeadlines(now);
-    target_.spot += lackForBorrowers(now);
+    target_.ordinary += lackForBorrowers(false, false, now);
+    const bool scarce = spotScarce(now);
+    const double lent = lackForBorrowers(true, scarce, now);
+    // Without spot machines its work once ran on nothing but leftovers: a class of low priority had
+    // a fifth of its jobs served, and the ordinary machines that it used were returned.
+    if (scarce)
+        target_.lentOrdinary = std::max(0.0, lent - std::max(0.0, have(true).spot - target_.spot));
+    target_.spot += lent;
 }
 
-double Fleet::lackForBorrowers(TimePoint now) const {
+bool Fleet::spotScarce(TimePoint now) const {
+    for (const auto& [name, t] : cluster_.catalogue()) {
+        if (!servesSpot(name)) continue;
+        for (const auto& zone : t.zones) {
+            const auto refused = refusedUntil_.find({name, zone, true});
+            if (refused == refusedUntil_.end() || refused->second + scarceFor < now) return false;
+        }
+    }
+    return true;
+}
+
+double Fleet::lackForBorrowers(bool spotAllowed, bool spotScarce, TimePoint now) const {
     // Their work, spread over the time they have: a guest that is patient needs few cores for
     // long, and mostly finds them idle. Counted by classes like the rest, one guest's array once
     // had every machine of the cloud rented for it.
     double pace = 0, hurried = 0;  // cores: without hurry, and for objectives that can still be met
     std::set<const Job*> inHurry;
     for (const Job* job : cluster_.openJobs()) {
-        if (!cluster_.borrows(*job) || job->suspect || !job->spec.spotAllowed) continue;
+        if (!cluster_.borrows(*job) || job->suspect || job->spec.spotAllowed != spotAllowed)
+            continue;
         const double run = std::max(1.0, toSeconds(cluster_.runTime(job->spec)));
         const auto turn = cluster_.turn(*job, now);
         const double left = turn.hopes ? toSeconds(turn.by - now - lendingDelay) : 0;
@@ -144,13 +164,13 @@
             const double cores = c.job->spec.demand.cores;
             if (!cluster_.borrows(*c.job))
                 (m.spot ? others.spot : others.ordinary) += cores;
-            else if (m.spot && inHurry.contains(c.job))
+            else if ((m.spot || spotScarce || !spotAllowed) && inHurry.contains(c.job))
                 hurried += cores;
         }
     const Have there = have(false);
     // Of idle ordinary machines much is kept warm for replicas.
-    const double idle = std::max(0.0, there.ordinary - others.ordinary) / 2 +
-                        std::max(0.0, std::min(there.spot, target_.spot) - others.spot);
+    double idle = std::max(0.0, there.ordinary - others.ordinary) / 2;
+    if (spotAllowed) idle += std::max(0.0, std::min(there.spot, target_.spot) - others.spot);
     return std::max(0.0, pace - idle) + hurried;
 }
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -54,7 +54,8 @@
         (spot ? out.spot : out.ordinary) += coresOf(type);
     };
     for (const auto& m : cluster_.machines())
-        if (m.up() && !m.sick && !m.deaf && !m.recalledAt && !m.draining) count(m.type, m.spot);
+        if (m.up() && !m.sick && !m.deaf && !m.recalledAt && !m.draining)
+            count(m.type, m.spot);
     if (withComing) {
         for (const auto& [name, c] : coming_) count(std::get<0>(c.pool), std::get<2>(c.pool));
         for (const auto& [pool, rent] : asking_)
@@ -85,7 +86,8 @@
 std::uint32_t Fleet::ordinaryOf(const std::string& type) const {
     std::uint32_t n = 0;
     for (const auto& m : cluster_.machines())
-        if (m.up() && !m.spot && !m.sick && !m.deaf && !m.draining && m.type == type) ++n;
+        if (m.up() && !m.spot && !m.sick && !m.deaf && !m.draining && m.type == type)
+            ++n;
     for (const auto& [name, c] : coming_)
         if (std::get<0>(c.pool) == type && !std::get<2>(c.pool)) ++n;
     for (const auto& [pool, rent] : asking_)
@@ -95,8 +97,8 @@
 
 void Fleet::shrink(TimePoint now) {
     Have have = this->have(false);
-    const double forSpot =
-        warm_ ? std::max(0.0, target_.spot - have.spot) : target_.ordinaryUsed + target_.late;
+    const double forSpot = warm_ ? std::max(0.0, target_.spot - have.spot)
+                                 : target_.ordinaryUsed + target_.late + target_.lentOrdinary;
     const auto surplus = [&](const Machine& m) {
         const double c = coresOf(m.type);
         if (m.spot && !servesSpot(m.type)) return true;
@@ -201,8 +203,8 @@
     const double left = rentFor(lack, Kind::spot, now, plan);
     if (warm_)
         rentFor(left, Kind::ordinaryForSpotWork, now, plan);
-    else if (left > 0)
-        rentFor(target_.late - std::max(0.0, spare - target_.ordinaryUsed),
+    else if (left > 0 || target_.lentOrdinary > 0)
+        rentFor(target_.late + target_.lentOrdinary - std::max(0.0, spare - target_.ordinaryUsed),
                 Kind::ordinaryForSpotWork, now, plan);
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -34,6 +34,7 @@
     double spot = 0;          // for work that may
     double ordinaryUsed = 0;  // ordinary ones that such work uses for want of spot ones
     double late = 0;          // more, for such work that would miss its deadline otherwise
+    double lentOrdinary = 0;  // more, for borrowers that no spot machines are to be had for
 };
 
 /// Decides which machines to rent and to return. Pure: the cloud's answers come in as values.
@@ -74,8 +75,12 @@
     [[nodiscard]] bool mustBeWarm(const std::string& jobClass, const ClassDemand& c) const;
     /// Cores that must be added for waiting work with deadlines to start in time.
     [[nodiscard]] double lackForDeadlines(TimePoint now) const;
-    /// Cores that borrowing work lacks, beyond what others leave idle, to be done in time.
-    [[nodiscard]] double lackForBorrowers(TimePoint now) const;
+    /// Cores that borrowing work lacks, beyond what others leave idle, to be done in time; of work
+    /// that may use spot machines, or of work that may not. `spotScarce`: what runs on ordinary
+    /// ones for want of others counts as well.
+    [[nodiscard]] double lackForBorrowers(bool spotAllowed, bool spotScarce, TimePoint now) const;
+    /// All that would serve was refused lately.
+    [[nodiscard]] bool spotScarce(TimePoint now) const;
     void replaceStuck(TimePoint now);
     void shrink(TimePoint now);
     void giveUpSilent(TimePoint now, Plan& plan);
--- a/src/fleet/fleet_test.cpp
+++ b/src/fleet/fleet_test.cpp
@@ -237,6 +237,46 @@
     EXPECT_LE(lent, 200U) << "25,000 core seconds within 400 s";
 }
 
+TEST_F(FleetTest, BorrowersGetOrdinaryMachinesWhereNoOthersAreToBeHad) {
+    // Found on a day of a small deployment without spot machines: a class of low priority lived on
+    // leftovers, the ordinary machines that it used were returned, and a fifth of it was served.
+    settings.objectives = {{"finished", "c", 200s, 0.9}};
+    for (const bool spotAllowed : {true, false}) {
+        scheduler::Cluster small{settings, 1};
+        small.setCatalogue(testing::someCatalogue());
+        Fleet here{small, clock.now()};
+        here.listed({}, clock.now());
+        JobSpec spec = testing::spec("run-1", 4);
+        spec.priority = Priority::low;
+        spec.spotAllowed = spotAllowed;
+        spec.estimateS = 30;
+        small.submit(spec, clock.now(), clock.wall());
+        unsigned ordinary = 0;
+        Worker w("n-1");
+        for (int second = 0; second < 120; ++second) {
+            clock.advance(1s);
+            small.expire(clock.now());
+            if (ordinary > 0) {
+                // It comes, and is used.
+                w.execute(small.beat(w.next(), clock.now()));
+                w.report.token = small.token();
+                small.place(clock.now());
+                std::map<std::string, std::string> records;
+                testing::commitAll(small, records);
+            }
+            for (const auto& r : here.plan(clock.now()).rent) {
+                ordinary += r.spot ? 0 : r.count;
+                here.rentFailed(r, r.spot, clock.now());
+                if (!r.spot) here.rented(r, {"n-1"}, clock.now());
+            }
+        }
+        EXPECT_GT(ordinary, 0U) << spotAllowed;
+        const Job& job = *small.find("run-1");
+        EXPECT_GT(job.runningCount + job.doneCount, 0U) << spotAllowed;
+        EXPECT_FALSE(small.machines()[small.indexOf("n-1")].draining) << spotAllowed;
+    }
+}
+
 TEST_F(FleetTest, AClassIsKeptWarmOnlyIfMachinesComeTooLateForItsObjective) {
     // A wait of 250 s had four times the peak of its class rented, where machines come in 40 s.
     const auto rentedFor = [&](Duration within, Duration boots) {
