A passed-on answer that may be older than what users were told is asked for again

Need: users ask at all nodes within milliseconds. A leader answers from what it knows at that moment, but its word may be held up on a link, while another node has told something newer. Change: a node asks again if a newer word about the job went through it since, or if an answer that may still change is older than 1 s, counted from when its question left; without time for that it refuses. An answer that ends a job is final and never asked for again. Slow acceptances cost one more question.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -19,6 +19,7 @@
 constexpr Duration workerPatience = 600ms;  // likewise; less than the peer waits for this node
 constexpr Duration absentAfter = 8s;        // then its version is not waited for
 constexpr Duration userPatience = 4s;       // users wait for 5 s
+constexpr Duration answerAge = 1s;          // of what a leader said of a job and may change
 constexpr Duration borrowEvery = 500ms, borrowPatience = 1s;
 constexpr std::size_t shownWaiting = 100, shownNeeds = 5;
 constexpr Duration relayPatience = 3s;  // a worker drops what comes after 4 s
@@ -214,6 +215,7 @@
     if (call.verb == UserCall::Verb::wrongMethod)
         co_return plain(405, R"({"error":"wrong method"})");
     const bool leads = term_ && term_->ready();
+    JobId job = call.id;
     if (call.verb == UserCall::Verb::submit && !leads) {
         // What is malformed is so whoever leads; a leader finds out by itself.
         auto parsed = jobs::parseSubmission(r.body);
@@ -222,21 +224,46 @@
             o.open().field("error", std::get<std::string>(parsed)).close();
             co_return http::Response{400, o.text()};
         }
+        job = std::get<JobSpec>(parsed).id;
     } else if (call.verb != UserCall::Verb::submit && !jobs::validId(call.id)) {
         co_return plain(call.verb == UserCall::Verb::query ? 404 : 400,
                         R"({"error":"not a job id"})");
     }
-    auto response = co_await passOn(std::move(r), userPatience);
-    co_return response ? std::move(*response) : noLeader();
+    auto response = co_await askLeader(std::move(r), std::move(job));
+    co_return response;
+}
+
+Task<http::Response> Controller::askLeader(http::Request r, JobId job) {
+    using jobs::Word;
+    const TimePoint until = loop_.now() + userPatience;
+    while (loop_.now() < until) {
+        const TimePoint askedAt = loop_.now();
+        Word newest = Word::none;
+        const auto mine = looking_.emplace(job, &newest);
+        http::Request copy = r;
+        auto passed = co_await passOn(std::move(copy), until - askedAt);
+        looking_.erase(mine);
+        if (!passed.response) break;
+        const Word word = jobs::wordOf(passed.response->status, passed.response->body);
+        for (auto [q, end] = looking_.equal_range(job); q != end; ++q)
+            *q->second = std::max(*q->second, word);
+        // A leader answers from what it knows at that moment, but its word may be held up on its
+        // way here, while another node has told users something newer: then it is asked again.
+        const bool mayChange = word == Word::unknown || word == Word::open;
+        const bool old =
+            passed.relayed && mayChange && (word < newest || loop_.now() - askedAt > answerAge);
+        if (!old) co_return std::move(*passed.response);
+    }
+    co_return noLeader();
 }
 
-Task<std::optional<http::Response>> Controller::passOn(http::Request r, Duration patience) {
+Task<Controller::Passed> Controller::passOn(http::Request r, Duration patience) {
     const TimePoint until = loop_.now() + patience;
     FencingToken asked = 0;
     while (loop_.now() < until) {
         if (term_) {
             auto response = co_await lead(std::move(r));
-            co_return response;
+            co_return Passed{std::move(response), false};
         }
         const auto known = leadership_.known();
         // Asked already, and given up by the mesh: that leader cannot be reached.
@@ -246,9 +273,9 @@
         auto o = co_await mesh_.forward(known->node, std::move(copy), until - loop_.now(), scope_);
         if (!o.answered) continue;
         o.response.keepAlive = true;
-        co_return std::move(o.response);
+        co_return Passed{std::move(o.response), true};
     }
-    co_return std::nullopt;
+    co_return Passed{};
 }
 
 Task<http::Response> Controller::workerFor(http::Request r, std::string worker) {
@@ -310,10 +337,11 @@
     const auto known = leadership_.known();
     if (known && known->node != settings_.node && mesh_.connected(known->node)) {
         // Passed on instead of sent away: the worker may not be able to reach the leader.
-        auto response = co_await passOn(std::move(r), relayPatience);
+        auto passed = co_await passOn(std::move(r), relayPatience);
         // A leader whose right has ended is there, and refuses: that is no more use to a worker
         // than silence.
-        if (response && response->status != 503) co_return std::move(*response);
+        if (passed.response && passed.response->status != 503)
+            co_return std::move(*passed.response);
         auto lent = inItsName(*report);
         co_return lent ? std::move(*lent) : noLeader();
     }
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -1,9 +1,11 @@
 #pragma once
 #include <memory>
 #include <set>
+#include <unordered_map>
 
 #include "app/term.h"
 #include "http/server.h"
+#include "jobs/codec.h"
 #include "mesh/mesh.h"
 
 namespace basaltchute::app {
@@ -23,9 +25,15 @@
     Task<http::Response> users(http::Request request);
     Task<http::Response> stateFor(http::Request request);
     Task<http::Response> workerFor(http::Request request, std::string worker);
-    /// Passes a request on to whoever leads, once more if another node does meanwhile. Nothing if
-    /// no answer came in time.
-    Task<std::optional<http::Response>> passOn(http::Request request, Duration patience);
+    struct Passed {
+        std::optional<http::Response> response;
+        bool relayed = false;  // by another node: as old as the question may be
+    };
+    /// Passes a request on to whoever leads, once more if another node does meanwhile. No response
+    /// if none came in time.
+    Task<Passed> passOn(http::Request request, Duration patience);
+    /// Asks for a user, and again if what came back may be older than what users were told since.
+    Task<http::Response> askLeader(http::Request request, JobId job);
     Task<http::Response> lead(http::Request request);
     /// Nothing if this node must not act, or finds out by the report that it must not.
     std::optional<http::Response> leaderBeat(Term& term, const workers::Report& report);
@@ -53,6 +61,9 @@
     delegation::Holder holder_;
     bool lentOut_ = false;             // answering by a delegation, as last logged
     std::set<std::string> idlePeers_;  // said since this node started that they do not lead
+    /// Questions of users that other nodes are to answer, by job, and the newest word about it that
+    /// went through this node since each left.
+    std::unordered_multimap<JobId, jobs::Word*> looking_;
     TimePoint leaderSeen_;
 };
 
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -237,6 +237,14 @@
     return o.text();
 }
 
+Word wordOf(int status, const std::string& body) {
+    if (status == 404 || status == 422) return Word::unknown;
+    if (status != 200 && status != 201) return Word::none;
+    const auto doc = json::parse(body);
+    const auto said = doc ? json::string(*doc, "status") : std::nullopt;
+    return said == "done" || said == "cancelled" ? Word::ended : Word::open;
+}
+
 std::unique_ptr<Job> makeJob(JobSpec spec, std::size_t valueBytes) {
     auto job = std::make_unique<Job>();
     const std::size_t taken = headBytes + specText(spec).size();
--- a/src/jobs/codec.h
+++ b/src/jobs/codec.h
@@ -15,6 +15,10 @@
 /// `{"ref":…,"status":…}` with the counts where asked for.
 std::string statusText(const JobId& id, const char* status);
 std::string statusText(const Job& job, const char* status);
+/// What an answer tells its user of a job, each newer than the ones before: not there or refused,
+/// accepted, and done or cancelled for good; none: nothing at all.
+enum class Word { none, unknown, open, ended };
+Word wordOf(int status, const std::string& body);
 
 using MachineName = std::function<const std::string&(MachineIndex)>;
 using MachineOf = std::function<MachineIndex(const std::string&)>;
