What is carried out though its answer is lost is found to stand

Cause: a campaign without an answer was taken back, though the others knew its leader by then; a batch of the writer was written a second time, every key of it, after a conflict with its own revisions. Change: a campaign gives up waiting after half a grant's life and reads whether its very key stands; the writer reads the keys that conflict and takes what was just sent for written.

--- a/src/leadership/leadership.cpp
+++ b/src/leadership/leadership.cpp
@@ -253,9 +253,16 @@
     const auto silent = fewSilent(absentAtElection);
     const bool relist = silent != *listed;
     if (relist) txn.puts.push_back({absentKey, absentText(silent), std::nullopt});
-    const state::Committed won = co_await client_.commit(std::move(txn), scope);
+    // Not longer than leaves time to find out what became of it.
+    state::Committed won = co_await client_.commit(std::move(txn), scope, life_ / 2);
+    if (won.verdict == Verdict::conflict || won.verdict == Verdict::unknown) {
+        // Perhaps it was carried out and only its answer was lost: then the others know this node
+        // as the leader already, and would be refused by it until its grant has ended.
+        const auto stands = co_await foundHolder(holder.text(), scope);
+        if (stands) won = {Verdict::ok, *stands, {}};
+    }
     if (won.verdict != Verdict::ok) {
-        // If the answer was lost the key may be ours yet; without the grant it cannot stay.
+        // If it is carried out yet the key is ours; without the grant it cannot stay.
         co_await client_.drop(grant.id, scope);
         co_return false;
     }
@@ -273,6 +280,15 @@
     co_return true;
 }
 
+Task<std::optional<state::Revision>> Leadership::foundHolder(std::string holder, Scope& scope) {
+    const state::Found found = co_await client_.get(holderKey, scope);
+    if (found.verdict != Verdict::ok || scope.cancelled()) co_return std::nullopt;
+    // Token, grant and process are in it: nobody else's election, and no other one of this node's.
+    const auto mine = json::parse(holder), there = json::parse(found.item->data);
+    if (!mine || !there || *mine != *there) co_return std::nullopt;
+    co_return found.item->revision;
+}
+
 std::set<std::string> Leadership::fewSilent(Duration span) const {
     // Most must stay able to campaign; and where most are silent, the silent one is this node.
     std::set<std::string> silent = hooks_.silent(span);
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -61,6 +61,8 @@
     Task<void> follow(Scope& scope);
     Task<bool> campaign(Scope& scope);
     Task<bool> tryCampaign(Scope& scope);
+    /// The revision of the leader's key if just that stands there.
+    Task<std::optional<state::Revision>> foundHolder(std::string holder, Scope& scope);
     Task<void> lead(Scope& scope);
     void extend(TimePoint sentAt, Duration life);
     [[nodiscard]] bool mayCampaign() const;
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr Duration patience = 1500ms;
+constexpr Duration patience = Client::usualPatience;
 constexpr Duration relayPatience = 700ms;
 constexpr Duration probeEvery = 2s;  // of the own way while requests go over a peer
 constexpr double usedShare = 0.95;   // of the rate of changes
@@ -130,7 +130,7 @@
     co_return outcome;
 }
 
-Task<Committed> Client::commit(Transaction txn, Scope& scope) {
+Task<Committed> Client::commit(Transaction txn, Scope& scope, Duration wait) {
     json::Out out;
     out.open().key("guards").openArray();
     for (const auto& g : txn.guards)
@@ -145,7 +145,7 @@
     out.closeArray().close();
     http::Request request{"POST", "/multi", out.text()};
     const Revision since = newest_;
-    auto o = co_await send(std::move(request), patience, scope);
+    auto o = co_await send(std::move(request), wait, scope);
     Committed result;
     result.verdict = verdictOf(o);
     adapt(result.verdict);
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -66,7 +66,8 @@
 class Client {
   public:
     Client(Loop& loop, const settings::Settings& settings);
-    Task<Committed> commit(Transaction txn, Scope& scope);
+    static constexpr Duration usualPatience = std::chrono::milliseconds(1500);
+    Task<Committed> commit(Transaction txn, Scope& scope, Duration patience = usualPatience);
     Task<Found> get(std::string key, Scope& scope);
     Task<Listing> list(std::string prefix, Scope& scope);
     Task<Granted> grant(Duration life, Scope& scope);
--- a/src/state/writer.cpp
+++ b/src/state/writer.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "json/json.h"
+
 namespace basaltchute::state {
 
 using namespace std::chrono_literals;
@@ -97,6 +99,7 @@
     txn.guards.push_back(leader_);
     std::vector<std::pair<std::string, std::uint64_t>> versions;
     std::vector<std::pair<std::string, Rank>> taken;
+    std::map<std::string, std::string> sent;
     std::size_t bytes = 0;
     for (const auto& key : keys) {
         auto e = hooks_.encode(key);
@@ -110,7 +113,8 @@
         }
         bytes += e->data.size();
         txn.guards.push_back({key, revisions_[key]});
-        txn.puts.push_back({key, std::move(e->data), std::nullopt});
+        txn.puts.push_back({key, e->data, std::nullopt});
+        sent[key] = std::move(e->data);
         versions.emplace_back(key, e->version);
         taken.emplace_back(*waiting);
         queue_.erase(waiting);
@@ -122,6 +126,11 @@
     }
     client_.writes().take(loop_.now(), static_cast<double>(versions.size()));
     Committed result = co_await client_.commit(std::move(txn), scope);
+    const bool conflict = result.verdict == Verdict::conflict;
+    const bool fenced = conflict && std::find(result.failed.begin(), result.failed.end(),
+                                              leader_.key) != result.failed.end();
+    std::set<std::string> stood;
+    if (conflict && !fenced) stood = co_await standing(result.failed, sent, scope);
     --transactions_;
     for (const auto& [key, version] : versions) {
         inFlight_.erase(key);
@@ -141,19 +150,15 @@
     } else if (result.verdict == Verdict::malformed && (taken.size() > 1 || hooks_.tooLarge)) {
         malformed(taken, bytes);
     } else {
-        for (const auto& [key, rank] : taken) enqueue(key, rank);
-        if (result.verdict == Verdict::conflict) {
-            if (std::find(result.failed.begin(), result.failed.end(), leader_.key) !=
-                result.failed.end()) {
-                hooks_.fenced();
-                co_return;
-            }
-            // An earlier transaction of ours was applied after all: learn the revision it left.
-            for (const auto& key : result.failed) {
-                const Found found = co_await client_.get(key, scope);
-                if (found.verdict == Verdict::ok) revisions_[key] = found.item->revision;
-                if (found.verdict == Verdict::notFound) revisions_[key] = 0;
-            }
+        for (const auto& [key, rank] : taken)
+            if (!stood.contains(key)) enqueue(key, rank);
+        if (fenced) {
+            hooks_.fenced();
+            co_return;
+        }
+        if (conflict) {
+            for (const auto& [key, version] : versions)
+                if (stood.contains(key)) hooks_.committed(key, version);
         } else if (result.verdict == Verdict::limited) {
             // It serves, if not that fast: what is most urgent goes first, and nobody is refused.
             pauseUntil_ = loop_.now() + pauseAfterRefusal;
@@ -168,6 +173,26 @@
     wake_.notify();
 }
 
+Task<std::set<std::string>> Writer::standing(std::vector<std::string> failed,
+                                             const std::map<std::string, std::string>& sent,
+                                             Scope& scope) {
+    // An earlier transaction of ours was carried out after all, and its answer was lost. Mostly it
+    // is this very one, sent again: what stands already is not written a second time.
+    std::set<std::string> out;
+    for (const auto& key : failed) {
+        const Found found = co_await client_.get(key, scope);
+        if (scope.cancelled()) break;
+        if (found.verdict == Verdict::notFound) revisions_[key] = 0;
+        if (found.verdict != Verdict::ok) continue;
+        revisions_[key] = found.item->revision;
+        const auto mine = sent.find(key);
+        if (mine == sent.end()) continue;
+        const auto here = json::parse(mine->second), there = json::parse(found.item->data);
+        if (here && there && *here == *there) out.insert(key);
+    }
+    co_return out;
+}
+
 void Writer::malformed(const std::vector<std::pair<std::string, Rank>>& taken, std::size_t bytes) {
     // Too many or too much at once, or one of them: repeated as it is it would hold up the others
     // for ever.
--- a/src/state/writer.h
+++ b/src/state/writer.h
@@ -52,6 +52,10 @@
     void enqueue(const std::string& key, Rank rank);
     std::vector<std::string> nextBatch(TimePoint now);
     Task<void> write(std::vector<std::string> keys, Scope& scope);
+    /// Those of the keys under which just what was sent stands; learns where the others are.
+    Task<std::set<std::string>> standing(std::vector<std::string> failed,
+                                         const std::map<std::string, std::string>& sent,
+                                         Scope& scope);
     void malformed(const std::vector<std::pair<std::string, Rank>>& taken, std::size_t bytes);
 
     Loop& loop_;
--- a/src/state/writer_test.cpp
+++ b/src/state/writer_test.cpp
@@ -142,6 +142,30 @@
     EXPECT_GT(troubled, 10);
 }
 
+TEST_F(WriterTest, WhatStandsThoughItsAnswerWasLostIsNotWrittenAgain) {
+    // Sent again, it meets its own revision: no key of the batch is lost or written twice, nobody
+    // steps down, and what changed meanwhile goes on from where the service is.
+    begin({1e9, 1e9, 1000, 20, {}});
+    int lost = 1, transactions = 0;
+    service->fault = [&](const http::Request& r) -> lab::StateService::Fault {
+        if (r.target != "/multi") return {};
+        ++transactions;
+        return {lost-- > 0 ? lab::StateService::Fault::Kind::mute
+                           : lab::StateService::Fault::Kind::none,
+                {}};
+    };
+    for (int i = 0; i < 8; ++i) write("k" + std::to_string(i), 50 + i);
+    world.run(1s);
+    EXPECT_EQ(service->writes, 8);
+    EXPECT_TRUE(durable.empty()) << "nobody is told before it is known";
+    write("k3", 90);  // changes before the answer is given up
+    world.until([&] { return durable.size() == 8U && durable["k3"] == 2U; });
+    EXPECT_EQ(service->writes, 9) << "only what has changed";
+    EXPECT_LE(transactions, 4);
+    EXPECT_EQ(service->keys.at("k3").data.size(), 90U);
+    EXPECT_EQ(writer->backlog(), 0U);
+}
+
 TEST_F(WriterTest, WhatIsWrittenUnderOtherKeysByNowIsLeftOut) {
     begin({1e9, 1e9, 1000, 20, {}});
     write("gone", 0);
