Muted machines, copies that come for minutes, stops that nobody heard, jobs with no place

Causes, by reading: a machine whose reports cannot leave looked alive by its answers, got work, and lost it with its lease; a direct stop without an answer was not sent again before the machine reported; each copy of an old report lengthened a dead machine's lease; a job whose tasks may be neither in one zone nor in two was accepted. Changes: a machine that answers while its reports are overdue gets no work, is asked as often as it would report, saves and moves what it can before its lease ends; an unanswered stop counts as not sent; a report older than the newest word renews from when that word came at the latest; together with spread is 422 for more than one task.

--- a/src/app/controller_test.cpp
+++ b/src/app/controller_test.cpp
@@ -153,6 +153,58 @@
     EXPECT_NE(state.keys["jobs/run-1"].data.find("cancelled"), std::string::npos);
 }
 
+TEST_F(ControllerTest, WhatCanNeverRunOrLacksAFieldIsRefusedWithAReasonByAnyNode) {
+    start(3);
+    ASSERT_EQ(ask(0, "POST", "/v1/jobs", testing::submission("run-1")).response.status, 201);
+    const auto submit = [&](std::size_t node, const std::string& body) {
+        const auto r = ask(node, "POST", "/v1/jobs", body).response;
+        return std::to_string(r.status) + ' ' + r.body;
+    };
+    const auto good = *json::parse(testing::submission("run-2"));
+    for (const char* field :
+         {"ref", "category", "crew", "shape", "rank", "splits", "cores", "gpus", "ramGb", "build",
+          "sizeGb", "together", "spread", "loaners", "parS", "savepointS", "flushS"})
+        for (const char* value : {"", "null", "{}", "-1", "1e999"}) {
+            json::Document odd;
+            odd.CopyFrom(good, odd.GetAllocator());
+            odd.RemoveMember(field);
+            std::string body = json::text(odd);
+            if (*value != 0)
+                body = body.substr(0, body.size() - 1) + ",\"" + field + "\":" + value + '}';
+            for (const std::size_t node : {0U, 1U}) {
+                const std::string said = submit(node, body);
+                EXPECT_EQ(said.substr(0, 3), "400") << body;
+                const bool named = said.find(field) != std::string::npos ||
+                                   said.find("not JSON") != std::string::npos;
+                EXPECT_TRUE(named) << said;
+            }
+        }
+    const auto changed = [&](const char* field, const std::string& value,
+                             const char* id = "run-2") {
+        auto odd = *json::parse(testing::submission(id));
+        odd.RemoveMember(field);
+        if (value.find("spread") != std::string::npos) odd.RemoveMember("spread");
+        const std::string body = json::text(odd);
+        return body.substr(0, body.size() - 1) + ",\"" + field + "\":" + value + '}';
+    };
+    for (const auto& [field, value] :
+         std::map<const char*, std::string>{{"crew", R"("nobody")"},
+                                            {"cores", "8.5"},
+                                            {"ramGb", "33"},
+                                            {"gpus", "1"},
+                                            {"rigs", R"(["rack"])"},
+                                            {"hall", R"("nowhere")"},
+                                            {"together", R"(true,"spread":true)"}})
+        for (std::size_t node = 0; node < 3; ++node) {
+            const std::string said = submit(node, changed(field, value));
+            EXPECT_EQ(said.substr(0, 3), "422") << field << ' ' << value;
+            EXPECT_NE(said.find("error"), std::string::npos);
+        }
+    // What is known stays so, whatever it would be told today.
+    EXPECT_EQ(submit(1, changed("crew", R"("nobody")", "run-1")).substr(0, 3), "200");
+    EXPECT_EQ(status(2, "run-2"), "404") << "none of them was taken";
+}
+
 TEST_F(ControllerTest, AChainIsAcceptedThroughAnyNodeAndCancelledAsAWhole) {
     start(3);
     EXPECT_EQ(submit(0, "run-1", "null"), 201);
@@ -584,6 +636,31 @@
     EXPECT_GE(token(), 2U);
 }
 
+TEST_F(ControllerTest, AnElectionStandsThoughItsAnswerIsLostWhileOthersReadIt) {
+    start(3);
+    ASSERT_EQ(ask(0, "POST", "/v1/jobs", testing::submission("run-1")).response.status, 201);
+    const FencingToken before = token();
+    int campaigns = 0;
+    state.fault = [&](const http::Request& r) -> testing::StateService::Fault {
+        // The first one's answer is lost, by its own way as over a peer.
+        if (r.body.find("lead/holder") == std::string::npos ||
+            r.body.find("lead/token") == std::string::npos || ++campaigns > 1)
+            return {};
+        return {testing::StateService::Fault::Kind::mute, {}};
+    };
+    kill(leader());
+    const TimePoint ended = world.clock.now();
+    world.until([&] { return token() > before; });
+    const std::size_t next = leader();
+    ASSERT_LT(next, 3U);
+    world.until([&] { return status(next, "run-1") == "pending"; });
+    EXPECT_LT(world.clock.now() - ended, 4s);
+    world.run(3s);
+    EXPECT_EQ(token(), before + 1) << "it stands: there is no second one";
+    EXPECT_EQ(leader(), next);
+    state.fault = nullptr;
+}
+
 TEST_F(ControllerTest, AnEndInAnyPhaseOfATakeOverCostsThatTakeOverOnly) {
     // Before the grant, between grant and key, between key and records, while they load, before the
     // first acceptance and just after: every request takes its time, and the process ends in steps
--- a/src/app/term.cpp
+++ b/src/app/term.cpp
@@ -397,6 +397,8 @@
                 co_return refuse(422, "a task fits no allowed machine type");
             case scheduler::Submitted::overLimit:
                 co_return refuse(422, "the job needs more than its team's limit");
+            case scheduler::Submitted::contradicts:
+                co_return refuse(422, "together and spread: its tasks have no place");
             case scheduler::Submitted::known:
             case scheduler::Submitted::fresh:
                 break;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -54,7 +54,7 @@
         (spot ? out.spot : out.ordinary) += coresOf(type);
     };
     for (const auto& m : cluster_.machines())
-        if (m.up() && !m.sick && !m.deaf && !m.recalledAt && !m.draining)
+        if (m.up() && !m.sick && !m.deaf && !m.mute && !m.recalledAt && !m.draining)
             count(m.type, m.spot);
     if (withComing) {
         for (const auto& [name, c] : coming_) count(std::get<0>(c.pool), std::get<2>(c.pool));
@@ -86,7 +86,7 @@
 std::uint32_t Fleet::ordinaryOf(const std::string& type) const {
     std::uint32_t n = 0;
     for (const auto& m : cluster_.machines())
-        if (m.up() && !m.spot && !m.sick && !m.deaf && !m.draining && m.type == type)
+        if (m.up() && !m.spot && !m.sick && !m.deaf && !m.mute && !m.draining && m.type == type)
             ++n;
     for (const auto& [name, c] : coming_)
         if (std::get<0>(c.pool) == type && !std::get<2>(c.pool)) ++n;
@@ -142,6 +142,8 @@
     Have have = this->have(true);
     for (MachineIndex i = 0; i < cluster_.machines().size(); ++i) {
         const Machine& m = cluster_.machines()[i];
+        // What a machine that does not report runs ends with its lease.
+        if (m.mute && m.up()) cluster_.moveReplicas(i, now);
         if (!m.draining || !m.up()) continue;
         if (m.charges.empty()) {
             dead_.insert(m.name);
--- a/src/fleet/losses.cpp
+++ b/src/fleet/losses.cpp
@@ -88,6 +88,9 @@
             cluster_.possiblyUntil(m, now) - now <= worthDeleting)
             continue;
         const bool late = now - heard > overdue;
+        // One that answers but does not report is asked as often as it would report.
+        const bool quiet = m.up() && !late && now - m.beatAt > overdue && !cluster_.away(m.zone);
+        if (quiet && now - m.heardAt > s.reportEvery / 2) plan.ask.push_back(i);
         if (!late && m.unanswered == 0) {
             if (now - heard > sweepAge) unheard.emplace_back(heard, i);
             continue;
--- a/src/scheduler/cluster.cpp
+++ b/src/scheduler/cluster.cpp
@@ -51,6 +51,8 @@
                 std::find(t.zones.begin(), t.zones.end(), *spec.zone) != t.zones.end());
     });
     if (!fits) return Submitted::fitsNowhere;
+    // All in one zone, and no more than half of them in any.
+    if (spec.oneZone && spec.spread && spec.tasks > 1) return Submitted::contradicts;
     const double n = spec.shape == Shape::array ? 1 : spec.tasks;
     if ((team->coresMax > 0 && spec.demand.cores * n > team->coresMax) ||
         (team->gpusMax > 0 && spec.demand.gpus * n > team->gpusMax))
@@ -326,7 +328,7 @@
     changed(machine);
 }
 
-void Cluster::saveBeforeRecall(MachineIndex machine, TimePoint now) {
+void Cluster::saveBefore(MachineIndex machine, TimePoint until, TimePoint now) {
     const Machine& m = machines_[machine];
     std::vector<std::pair<Job*, std::uint32_t>> due;
     for (const auto& c : m.charges) {
@@ -334,7 +336,7 @@
         const JobSpec& spec = c.job->spec;
         if (!owns(c, machine) || task.stopping || spec.checkpointS <= 0) continue;
         // As late as the save allows: the task may still finish.
-        const TimePoint last = *m.recalledAt - fromSeconds(spec.saveS) - recallMargin;
+        const TimePoint last = until - fromSeconds(spec.saveS) - recallMargin;
         if (now < last)
             attendAt(machine, last);
         else
@@ -354,7 +356,8 @@
 void Cluster::attend(MachineIndex i, TimePoint now) {
     Machine& m = machines_[i];
     if (m.presence == Presence::gone) return;
-    if (m.up() && m.recalledAt) saveBeforeRecall(i, now);
+    if (m.up() && m.recalledAt) saveBefore(i, *m.recalledAt, now);
+    if (m.up() && m.mute) saveBefore(i, m.leaseEnd, now);
     const bool held = now >= m.leaseEnd && now < possiblyUntil(m, now);
     if (held && !m.charges.empty()) {
         // Answered by a node that holds a delegation, perhaps: what it told may be old, and is
@@ -373,7 +376,8 @@
     changed(i);
     // Beats move these on; the next look is at what they were when this one was due.
     for (const TimePoint t :
-         {m.heardAt + settings_.reportEvery * 2, m.avoidUntil, m.deafUntil, m.leaseEnd})
+         {m.heardAt + settings_.reportEvery * 2, m.beatAt + settings_.reportEvery * 2, m.avoidUntil,
+          m.deafUntil, m.leaseEnd})
         if (t > now) attendAt(i, t);
 }
 
--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -26,7 +26,7 @@
     std::set<MachineIndex> ask;   // that may not hear: whether they answer a question
 };
 
-enum class Submitted { fresh, known, unknownTeam, fitsNowhere, overLimit };
+enum class Submitted { fresh, known, unknownTeam, fitsNowhere, overLimit, contradicts };
 
 /// All that a leader knows: jobs, machines, and what is possibly where. Pure: inputs are
 /// reports, requests and the passing of time, outputs are Effects and orders.
@@ -217,7 +217,8 @@
     workers::Charge& charge(MachineIndex machine, workers::Charge charge);
     /// Tells a task to stop, and the rest of its gang with it: without one member it does no work.
     void stop(Job& job, std::uint32_t task);
-    void saveBeforeRecall(MachineIndex machine, TimePoint now);
+    /// Stops what saves its progress before the machine is lost at `until`.
+    void saveBefore(MachineIndex machine, TimePoint until, TimePoint now);
     void attend(MachineIndex machine, TimePoint now);
     void attendAt(MachineIndex machine, TimePoint at);
     void changed(MachineIndex machine);
@@ -235,6 +236,8 @@
     /// Whether the machine hears what it is answered, by a newer beat of its.
     void heeds(MachineIndex machine, TimePoint now);
     void calledDeaf(MachineIndex machine, const char* why, TimePoint now);
+    /// Whether its reports should have come by now.
+    void answeredInsteadOfReporting(MachineIndex machine, TimePoint now);
     void failed(workers::Machine& m, MachineIndex index, Job& job, TimePoint now);
     /// A gang starts once all of its bindings stand.
     bool allBound(const Job& job) const;
--- a/src/scheduler/meetings_test.cpp
+++ b/src/scheduler/meetings_test.cpp
@@ -286,5 +286,139 @@
     EXPECT_EQ(job.tasks[0].attempt, 2U);
 }
 
+TEST_F(MeetingsTest, AMachineThatAnswersButDoesNotReportGetsNothingNewAndSavesWhatItCan) {
+    Worker mute("n-1"), other("n-2");
+    JobSpec saves = testing::spec("run-1");
+    saves.checkpointS = 10;
+    saves.saveS = 1;
+    Job& job = running(mute, saves);
+    Job& cancelled = submit(testing::spec("run-2"));
+    place();
+    commit();
+    exchange(mute);
+    exchange(mute);
+    ASSERT_EQ(cancelled.runningCount, 1U);
+    const MachineIndex at = cluster->indexOf("n-1");
+    const auto inspect = [&] {
+        cluster->report(mute.next(), Cluster::Source::direct, clock.now());
+    };
+    // A command to stop is lost. No more reports come from now on.
+    cluster->cancel(cancelled, clock.now());
+    commit();
+    ASSERT_EQ(verbs(cluster->directOrders(at, clock.now())), std::vector{Verb::stop});
+    cluster->directEnded(at, true);
+    pass(settings.reportEvery * 5 / 4 + 2s);
+    inspect();
+    EXPECT_TRUE(cluster->machines()[at].mute);
+    EXPECT_TRUE(cluster->take().push.contains(at)) << "it hears: it is told once more";
+    const auto stops = cluster->directOrders(at, clock.now());
+    ASSERT_EQ(verbs(stops), std::vector{Verb::stop});
+    mute.execute(stops);
+    cluster->directEnded(at, false);
+    inspect();
+    EXPECT_TRUE(cancelled.perZone.empty()) << "proven long before its lease ends";
+    submit(testing::spec("run-3"));
+    place();
+    EXPECT_EQ(cluster->find("run-3")->boundCount, 0U) << "there is room, but it would be lost";
+    EXPECT_EQ(cluster->check(), "");
+    // What saves is stopped as late as that allows, before the lease ends.
+    for (Duration d{}; d < settings.lease && !job.tasks[0].stopping; d += 1s) {
+        pass(1s);
+        inspect();
+    }
+    EXPECT_TRUE(job.tasks[0].stopping);
+    EXPECT_GT(cluster->machines()[at].leaseEnd, clock.now() + 2s);
+    // It reports again.
+    beat(mute);
+    EXPECT_FALSE(cluster->machines()[at].mute);
+    place();
+    EXPECT_EQ(cluster->find("run-3")->boundCount, 1U);
+}
+
+TEST_F(MeetingsTest, CopiesThatComeForMinutesKeepNobodyWaitingForADeadMachine) {
+    Worker dead("n-1"), other("n-2");
+    Job& job = running(dead, testing::spec("run-1"));
+    const workers::Report last = dead.report;
+    TimePoint released{};
+    for (Duration d{}; d < settings.lease * 2 && released == TimePoint{}; d += 1s) {
+        copy(last);
+        pass(1s);
+        if (job.boundCount == 0) released = clock.now();
+    }
+    EXPECT_NE(released, TimePoint{}) << "a lease after its last news, however many copies came";
+    exchange(other);
+    place();
+    EXPECT_EQ(cluster->machines()[job.tasks[0].machine].name, "n-2");
+}
+
+TEST_F(MeetingsTest, ABeatThatAnAnswerOvertookStillRenewsItsLease) {
+    // The worker waits for the answer to a report while it is asked directly: what it said last is
+    // newer than that report, whose answer renews its lease all the same.
+    Worker w("n-1");
+    Job& job = running(w, testing::spec("run-1"));
+    pass(10s);
+    const workers::Report sent = w.next();
+    cluster->report(w.next(), Cluster::Source::direct, clock.now());
+    pass(1s);
+    copy(sent);
+    pass(settings.lease - 2s);
+    EXPECT_EQ(job.boundCount, 1U) << "its lease counts from when that report was sent";
+    pass(4s);
+    EXPECT_EQ(job.boundCount, 0U);
+}
+
+TEST_F(MeetingsTest, WhatAnOldReportNamesIsCountedButBreaksNoLimitAndEndsWithItsLease) {
+    // A report of before the task was stopped, saved and put back, as a new leader's first word.
+    // Its machine is long gone.
+    settings.teams[0].coresMax = 4;
+    cluster = make(5);
+    JobSpec spec = testing::spec("run-1");
+    spec.demand.cores = 4;
+    Worker gone("n-1"), other("n-2");
+    Job& job = running(gone, spec);
+    const workers::Report old = gone.next();
+    cluster->machineGone(cluster->indexOf("n-1"), clock.now());
+    commit();
+    EXPECT_EQ(job.boundCount, 0U);
+    takeOver();
+    copy(old);
+    exchange(other);
+    place();
+    Job& now = *cluster->find("run-1");
+    commit();
+    EXPECT_NE(cluster->machines()[now.tasks[0].machine].name, "n-2") << "it may be there";
+    EXPECT_EQ(cluster->check(), "");
+    for (Duration d{}; d < settings.lease + 2s; d += 1s) {
+        copy(old);
+        exchange(other);
+        pass(1s);
+        place();
+    }
+    EXPECT_EQ(cluster->machines()[now.tasks[0].machine].name, "n-2");
+    EXPECT_EQ(now.tasks[0].attempt, 2U) << "not the one that the old report names";
+}
+
+TEST_F(MeetingsTest, AMachineInNoListIsInAnyZoneUntilItReports) {
+    // Rented, up within two seconds and given work by a leader that ends.
+    JobSpec spec = testing::spec("run-1", 2);
+    spec.spread = true;
+    Worker fresh("n-1"), a("n-2"), b("n-3", "b");
+    exchange(fresh);
+    submit(spec);
+    place();
+    commit();
+    exchange(fresh);
+    takeOver();
+    Job& job = *cluster->find("run-1");
+    exchange(a);
+    exchange(b);
+    place();
+    EXPECT_EQ(job.boundCount, 1U) << "one is in a or in b: neither has room for another one";
+    exchange(fresh);
+    place();
+    ASSERT_EQ(job.boundCount, 2U);
+    EXPECT_EQ(job.perZone, (std::map<std::string, std::uint32_t>{{"a", 1}, {"b", 1}}));
+}
+
 }  // namespace
 }  // namespace basaltchute::scheduler
--- a/src/scheduler/offers.cpp
+++ b/src/scheduler/offers.cpp
@@ -32,9 +32,10 @@
 }
 
 bool Cluster::open(const Machine& m) const {
-    return fresh(m, now_) && reportsFit(m) && !m.sick && !m.draining && !m.recalledAt &&
-           !away_.contains(m.zone) && now_ >= m.avoidUntil && !m.deaf &&
-           catalogue_.contains(m.type);
+    // What answers but has not reported for a while is about to lose its lease.
+    return fresh(m, now_) && now_ - m.beatAt < settings_.reportEvery * 2 && reportsFit(m) &&
+           !m.sick && !m.draining && !m.recalledAt && !away_.contains(m.zone) &&
+           now_ >= m.avoidUntil && !m.deaf && !m.mute && catalogue_.contains(m.type);
 }
 
 Offer Cluster::offerOf(MachineIndex machine) const {
--- a/src/scheduler/reports.cpp
+++ b/src/scheduler/reports.cpp
@@ -25,6 +25,7 @@
 constexpr Duration soundAfter = 15s;    // a task that ran this long has a sound job
 constexpr std::size_t maxOrders = 300;  // an answer is one line of at most 64 KiB
 constexpr std::uint32_t deafAfter = 2;  // answers in a row that nothing came of
+constexpr Duration reportDelay = 1500ms;
 }  // namespace
 
 void Cluster::setPhase(Job& job, JobTask& task, Phase phase, TimePoint now) {
@@ -204,6 +205,7 @@
     if (r.session > m.session) m.leaseEnd = std::max(m.leaseEnd, leaseEnd(now));
     m.session = r.session;
     m.sequence = r.sequence;
+    m.newsAt = now;
     if (r.session <= m.deadSession) {
         // A report held back since before the lease ran out: only results in it still count.
         for (const auto& t : r.tasks)
@@ -212,8 +214,17 @@
     }
     m.heardAt = now;
     m.unanswered = 0;
-    if (source == Source::direct) m.unheeded = 0;  // it heard the question
-    if (source == Source::direct && std::exchange(m.deaf, false)) changed(index);
+    if (source == Source::beat) {
+        m.beatAt = now;
+        if (std::exchange(m.mute, false)) {
+            spdlog::info("machine {} reports again", m.name);
+            changed(index);
+        }
+    } else {
+        m.unheeded = 0;  // it heard the question
+        if (std::exchange(m.deaf, false)) changed(index);
+        answeredInsteadOfReporting(index, now);
+    }
     m.reportBytes = r.bytes;
     if ((room_.of(index) != nullptr) != open(m))
         changed(index);  // silent for a while, new, or full
@@ -257,6 +268,24 @@
     }
 }
 
+void Cluster::answeredInsteadOfReporting(MachineIndex machine, TimePoint now) {
+    Machine& m = machines_[machine];
+    // Heard of first by an answer, it has had no time to report yet.
+    if (m.beatAt == TimePoint{}) m.beatAt = now;
+    const Duration overdue = settings_.reportEvery * 5 / 4 + reportDelay;
+    if (now - m.beatAt <= overdue) return;
+    if (!std::exchange(m.mute, true)) {
+        spdlog::warn("machine {} answers, but its reports do not come: no more work for it",
+                     m.name);
+        changed(machine);
+    }
+    attendAt(machine, now);
+    // What has to stop there has not heard it by an answer to a report.
+    if (std::any_of(m.charges.begin(), m.charges.end(),
+                    [&](const Charge& c) { return mustStop(c) && c.sent && !c.stopSent; }))
+        effects_.push.insert(machine);
+}
+
 bool Cluster::allBound(const Job& job) const {
     if (job.boundCount + job.doneCount < job.spec.tasks) return false;
     return job.layout.durable();
@@ -349,7 +378,9 @@
     Machine& m = machines_[index];
     const bool news = std::tie(r.session, r.sequence) > std::tie(m.session, m.sequence);
     report(r, Source::beat, now);
-    m.leaseEnd = leaseEnd(now);
+    // What is older than the newest word was sent before that one came. Copies arrive for minutes,
+    // and must not hold back for ever what ran on a machine that is gone.
+    m.leaseEnd = std::max(m.leaseEnd, leaseEnd(news ? now : m.newsAt));
     if (m.presence == Presence::gone || r.session <= m.deadSession || r.session != m.session ||
         r.sequence != m.sequence)
         return {};
@@ -380,6 +411,7 @@
     Machine& m = machines_[machine];
     m.directBusy = false;
     for (auto& c : m.charges) {
+        if (unanswered) c.stopSent = false;  // perhaps nobody heard it
         if (!c.directPending) continue;
         c.directPending = false;
         if (unanswered) c.directUnknown = true;
--- a/src/workers/machine.h
+++ b/src/workers/machine.h
@@ -44,6 +44,8 @@
     std::uint64_t session = 0, sequence = 0;
     std::uint64_t deadSession = 0;  // sessions up to this one are surely over
     TimePoint heardAt{};            // when its last news came
+    TimePoint beatAt{};             // when the last that it sent by itself came
+    TimePoint newsAt{};             // when `session` and `sequence` came, whatever they told
     TimePoint leaseEnd{};           // when its lease has surely run out, whoever answered it last
     std::optional<TimePoint> recalledAt;
     std::vector<Charge> charges;
@@ -69,6 +71,9 @@
     std::uint32_t answers = 0, unheeded = 0;
     TimePoint answeredAt{}, deafUntil{};
     bool deaf = false;
+    /// It answers, but its reports do not come: nothing renews its lease. No more work goes there,
+    /// and what can be saved or moved is, until it reports again.
+    bool mute = false;
     std::uint32_t unanswered = 0;           // times it was asked in vain since its last news
     TimePoint attendAt = TimePoint::max();  // when the passing of time next changes something here
     bool changed = false;                   // its offer of room has to be made anew
