--- a/src/lab/checker.h
+++ b/src/lab/checker.h
@@ -20,6 +20,9 @@
     /// Not 0: the largest jobs of each class begin within so long, and half of each class, team and
     /// class's largest jobs is started.
     double beginS = 0;
+    /// From `calmS` on no job waits for so long while a machine that fits has room and its team is
+    /// under its limit.
+    double besideRoomS = 90;
 };
 
 struct Violation {
@@ -33,6 +36,12 @@
 struct Verdict {
     std::vector<Violation> violations;
     std::map<std::string, Share> classes, teams, largest;
+    /// Answers older than what was told while their question was on its way: by linearizability the
+    /// two may be ordered either way, by the letter of PROTOCOL they may not.
+    std::uint64_t overtaken = 0;
+    double longestOvertakenS = 0;  // from the question to the answer
+    /// Starts after a confirmed cancellation, of launches that were on their way.
+    std::uint64_t startedCancelled = 0;
 };
 
 /// Decides from outside: it knows what users, workers and the cloud saw, and no code of the
--- a/src/lab/checker_test.cpp
+++ b/src/lab/checker_test.cpp
@@ -277,6 +277,83 @@
     EXPECT_EQ(broken(), Rules{}) << "only where a scenario asks for it";
 }
 
+TEST_F(CheckerTest, AnAnswerIsNotOlderThanWhatWasToldBeforeItsQuestionLeft) {
+    const auto ask = [&](double at) {
+        asked(at, "run-1");
+        return history.facts.size() - 1;
+    };
+    told(2, "run-1", 201, "pending", Question::submission);
+    for (std::uint32_t t = 0; t < 2; ++t) add(3, Kind::completed, "run-1").task = t;
+    const std::size_t before = ask(4);
+    told(5, "run-1", 200, "done");
+    const std::size_t since = ask(5.01);
+    told(5.8, "run-1", 200, "running");
+    history.facts.back().asked = before;
+    EXPECT_EQ(broken(), Rules{}) << "the two overlap, and may be ordered either way";
+    EXPECT_EQ(check(history, terms).overtaken, 1U);
+    EXPECT_NEAR(check(history, terms).longestOvertakenS, 1.8, 1e-9);
+    told(5.9, "run-1", 200, "running");
+    history.facts.back().asked = since;
+    EXPECT_EQ(broken(), Rules{"went_back"});
+    history.facts.back().status = 404;
+    history.facts.back().word = "";
+    EXPECT_EQ(broken(), Rules{"forgotten"});
+}
+
+TEST_F(CheckerTest, WhatCanNeverRunOrLacksAFieldIsNotAccepted) {
+    history.unfit["odd-1"] = "it lacks splits";
+    told(2, "odd-1", 400, "", Question::submission);
+    told(3, "odd-1", 404, "");
+    EXPECT_EQ(broken(), Rules{});
+    told(4, "odd-1", 201, "pending", Question::submission);
+    EXPECT_EQ(broken(), Rules{"accepted_unfit"});
+}
+
+TEST_F(CheckerTest, AStartOfACancelledJobIsCountedAndOneTooLateIsWrong) {
+    off(1.5, "run-1", 0, "a-ordinary");
+    add(2, Kind::withdrew, "run-1");
+    told(3, "run-1", 200, "cancelled", Question::withdrawal);
+    on(4, "run-1", 1, "b-ordinary");
+    off(5, "run-1", 1, "b-ordinary");
+    EXPECT_EQ(broken(), Rules{}) << "its launch was on its way";
+    EXPECT_EQ(check(history, terms).startedCancelled, 1U);
+    // A machine that hung goes on with it.
+    on(6, "run-1", 0, "rack");
+    add(13.5, Kind::up, "");
+    EXPECT_EQ(broken(), Rules{"ran_cancelled"});
+}
+
+TEST_F(CheckerTest, NobodyWaitsLongBesideAMachineThatFits) {
+    terms.calmS = 10;
+    for (const char* name : {"b-ordinary", "b-spot"}) {
+        history.machines[name].capacity = {8, 0, 64};
+        add(5, Kind::up, "").machine = name;
+    }
+    job("run-2").demand = {4, 0, 8};
+    history.jobs["run-2"].zone = "b";
+    told(20, "run-2", 201, "pending", Question::submission);
+    const auto pass = [&](double until) {
+        for (double at = history.facts.back().at + 1; at < until; at += 1) add(at, Kind::up, "");
+    };
+    pass(109);
+    EXPECT_EQ(broken(), Rules{});
+    pass(113);
+    EXPECT_EQ(broken(), Rules{"left_waiting"});
+    const auto without = [&](auto change) {
+        const auto jobs = history.jobs;
+        const auto limits = terms.teams;
+        change();
+        const auto out = broken();
+        history.jobs = jobs;
+        terms.teams = limits;
+        return out;
+    };
+    EXPECT_EQ(without([&] { terms.teams["red"].coresMax = 5; }), Rules{}) << "at its limit";
+    EXPECT_EQ(without([&] { history.jobs["run-2"].demand.cores = 9; }), Rules{}) << "too large";
+    EXPECT_EQ(without([&] { history.jobs["run-2"].zone = "a"; }), Rules{}) << "elsewhere";
+    EXPECT_EQ(without([&] { history.jobs["run-2"].needs = {"run-1"}; }), Rules{}) << "it waits";
+}
+
 TEST_F(CheckerTest, SomethingRunsAndWhatComesAfterTheTroublesIsAccepted) {
     terms.settledS = 50;
     terms.untilS = 100;
--- a/src/lab/history.h
+++ b/src/lab/history.h
@@ -31,16 +31,21 @@
     int status = 0;
     std::uint64_t number = 0;
     Question question = Question::poll;
+    /// Of an answer: which fact its question is. Without, it was asked just before.
+    std::optional<std::size_t> asked{};
 };
 
 struct MachineFacts {
     std::string type, zone, site;
     bool spot = false;
+    Demand capacity{};
 };
 
 struct History {
     std::vector<Fact> facts;
     std::unordered_map<std::string, JobSpec> jobs;  // by id, as submitted
+    /// Submissions that no controller may accept, and why.
+    std::unordered_map<std::string, std::string> unfit;
     std::unordered_map<std::string, MachineFacts> machines;
     [[nodiscard]] static std::string text(const Fact& event);
     /// The whole log as one number: two runs of one seed give the same.
--- /dev/null
+++ b/src/lab/lab_fixture.h
@@ -0,0 +1,56 @@
+#pragma once
+// For tests only: scenarios by name, and shorthands for what happens in them.
+#include <gtest/gtest.h>
+#include <spdlog/spdlog.h>
+
+#include "lab/world.h"
+
+namespace basaltchute::lab {
+
+inline Scenario scenario(const std::string& name) {
+    const auto text = settings::readFile(std::string(SCENARIOS) + '/' + name + ".json");
+    auto parsed = parseScenario(text.value_or(""));
+    EXPECT_TRUE(std::holds_alternative<Scenario>(parsed)) << std::get<std::string>(parsed);
+    return std::get<Scenario>(std::move(parsed));
+}
+
+/// Jobs that were told to be cancelled between two moments, and how many of them while their tasks
+/// were on machines and a leader elected since then led.
+struct Cancelled {
+    int told = 0, elsewhere = 0;
+};
+inline Cancelled cancelledElsewhere(const History& history, double fromS, double toS) {
+    Cancelled out;
+    std::map<std::string, int> on;
+    std::set<std::string> told;
+    bool successor = false;
+    for (const auto& f : history.facts) {
+        if (f.kind == Fact::Kind::on) ++on[f.job];
+        if (f.kind == Fact::Kind::off) --on[f.job];
+        if (f.kind == Fact::Kind::elected && f.at > fromS) successor = true;
+        if (f.kind != Fact::Kind::told || f.word != "cancelled" || f.at < fromS || f.at > toS)
+            continue;
+        if (!told.insert(f.job).second) continue;
+        ++out.told;
+        out.elsewhere += successor && on[f.job] > 0 ? 1 : 0;
+    }
+    return out;
+}
+
+class LabTest : public ::testing::Test {
+  protected:
+    spdlog::level::level_enum before = spdlog::get_level();
+    LabTest() { spdlog::set_level(spdlog::level::off); }
+    ~LabTest() override { spdlog::set_level(before); }
+};
+
+inline Fault fault(const std::string& kind, double atS, double forS) {
+    Fault f;
+    f.kind = kind;
+    f.atS = atS;
+    f.forS = forS;
+    f.leader = true;
+    return f;
+}
+
+}  // namespace basaltchute::lab
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -62,6 +62,10 @@
                 s.jobs, static_cast<double>(s.accepted) / static_cast<double>(s.jobs),
                 static_cast<double>(s.started) / static_cast<double>(s.jobs),
                 static_cast<double>(s.ended) / static_cast<double>(s.jobs));
+    std::cout << fmt::format(
+        "  {} answers overtaken by newer ones, {} starts on their way when their job was "
+        "cancelled\n",
+        v.overtaken, v.startedCancelled);
 }
 
 struct Show {
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -85,6 +85,8 @@
     c.images = countOr(v, "images", 3);
     c.spot = json::boolean(v, "spot").value_or(false);
     c.spread = json::boolean(v, "spread").value_or(false);
+    c.together = json::boolean(v, "together").value_or(false);
+    c.bound = numberOr(v, "bound", 0);
     c.waitS = json::number(v, "waitS");
     return c;
 }
@@ -178,6 +180,9 @@
                 return t.cores >= k.cores && t.ramGb >= k.ramGb;
             });
             if (!fits) return fmt::format("{}/classes/{}: expected a type that a task fits", at, c);
+            if (k.spread && (k.together || k.bound > 0))
+                return fmt::format("{}/classes/{}/spread: expected neither together nor bound", at,
+                                   c);
             if (k.tasks[0] > k.tasks[1] || k.runS[0] > k.runS[1])
                 return fmt::format("{}/classes/{}: expected the lower bound first", at, c);
         }
@@ -223,6 +228,8 @@
             if (s.swarm.pairs[i].at(k) != Swarm::anyKind && !isKind(s.swarm.pairs[i].at(k)))
                 return fmt::format("#/swarm/pairs/{}/{}: expected a known kind of fault, or \"{}\"",
                                    i, k, Swarm::anyKind);
+    if (s.swarm.thenLeaderEnds && s.swarm.pairs.empty())
+        return "#/swarm/thenLeaderEnds: expected pairs beside it";
     if (!s.swarm.pairs.empty() && s.swarm.toS <= s.swarm.fromS)
         return "#/swarm/toS: expected a time after fromS, for its pairs";
     if (s.swarm.toS > s.seconds) return "#/swarm/toS: expected a time within the run";
@@ -233,12 +240,14 @@
 
 const std::vector<std::string>& faultKinds() {
     static const std::vector<std::string> all{
-        "node_crash",    "node_freeze",  "node_cut",     "node_from_state", "node_from_workers",
-        "node_stutter",  "zone_cut",     "zones_apart",  "one_way",         "peers_refuse",
-        "state_outage",  "state_late",   "cloud_outage", "boot_trouble",    "machine_die",
-        "machine_hang",  "machine_sick", "spot_taken",   "job_burst",       "site_apart",
-        "node_isolated", "node_roll",    "state_limits", "machine_deaf",    "machine_restart",
-        "late_copies",   "node_refused", "late_writes",  "state_slow",      "commands_held"};
+        "node_crash",    "node_freeze",     "node_cut",     "node_from_state", "node_from_workers",
+        "node_stutter",  "zone_cut",        "zones_apart",  "one_way",         "peers_refuse",
+        "state_outage",  "state_late",      "cloud_outage", "boot_trouble",    "machine_die",
+        "machine_hang",  "machine_sick",    "spot_taken",   "job_burst",       "site_apart",
+        "node_isolated", "node_roll",       "state_limits", "machine_deaf",    "machine_restart",
+        "late_copies",   "node_refused",    "late_writes",  "state_slow",      "commands_held",
+        "cancel_now",    "cancel_at_end",   "machine_mute", "odd_requests",    "close_looks",
+        "answers_lost",  "copies_for_next", "peers_slow"};
     return all;
 }
 
@@ -249,6 +258,7 @@
     if (!zone.empty()) out += fmt::format(R"(,"zone":"{}")", zone);
     if (!jobClass.empty()) out += fmt::format(R"(,"class":"{}")", jobClass);
     if (factor != 1) out += fmt::format(R"(,"factor":{:.2f})", factor);
+    if (share != Fault{}.share) out += fmt::format(R"(,"share":{:.2f})", share);
     if (leader) out += R"(,"leader":true)";
     if (reset) out += R"(,"reset":true)";
     return out + '}';
@@ -270,6 +280,7 @@
             f.atS = numberOr(v, "atS", 0);
             f.forS = numberOr(v, "forS", 10);
             f.factor = numberOr(v, "factor", 1);
+            f.share = numberOr(v, "share", f.share);
             f.kind = textOr(v, "kind");
             f.site = textOr(v, "site");
             f.zone = textOr(v, "zone");
@@ -284,6 +295,7 @@
     s.swarm.toS = numberOr(swarm, "toS", 0);
     s.swarm.kinds = texts(json::array(swarm, "kinds"));
     s.swarm.most = countOr(swarm, "most", 6);
+    s.swarm.thenLeaderEnds = json::boolean(swarm, "thenLeaderEnds").value_or(false);
     if (const auto* pairs = json::array(swarm, "pairs"))
         for (const auto& p : pairs->GetArray())
             s.swarm.pairs.push_back({p[0].GetString(), p[1].GetString()});
--- a/src/lab/scenario.h
+++ b/src/lab/scenario.h
@@ -22,7 +22,8 @@
     std::array<std::uint32_t, 2> tasks{1, 1};
     std::array<double, 2> runS{1, 1};
     std::uint32_t initial = 0, images = 3;
-    bool spot = false, spread = false;
+    bool spot = false, spread = false, together = false;
+    double bound = 0;  // the share of its jobs that may run in one zone only, which is drawn
     std::optional<double> waitS;
 };
 
@@ -66,6 +67,7 @@
 
 struct Fault {
     double atS = 0, forS = 0, factor = 1;
+    double share = 0.3;  // of what it may hit each time: transactions, reports, jobs that end
     std::string kind, site, zone, jobClass;
     std::uint32_t count = 1;
     bool leader = false, reset = false;
@@ -81,6 +83,7 @@
     /// shortly after it. anyKind: one of `kinds`.
     std::vector<std::array<std::string, 2>> pairs;
     static constexpr const char* anyKind = "any";
+    bool thenLeaderEnds = false;  // and the leader ends shortly after each pair has begun
 };
 
 /// What is to be shown of a scenario beside the rules; 0: nothing.
--- a/src/lab/worker.h
+++ b/src/lab/worker.h
@@ -21,6 +21,8 @@
     std::map<std::string, double> runS;                      // true run time, by job
     std::map<std::string, double> apart;  // how much longer its last task takes, in run times
     std::function<void(const std::string& report)> reported;  // one has left
+    std::function<void(const std::string& job)> ended;        // all its tasks have results
+    std::map<std::string, std::uint32_t> resultsOf;           // how many tasks of a job have
 };
 
 /// A worker by its published protocol, on a machine of its own.
@@ -36,6 +38,10 @@
     void hang(Duration span) { machine_.freeze(span); }
     /// Its reports go out, but neither answers nor commands come in; what was held back does later.
     void deafen(Duration span);
+    /// It reaches no controller, while commands reach it.
+    void mute(Duration span) { muteUntil_ = std::max(muteUntil_, now() + span); }
+    /// What has its image and has not ended.
+    [[nodiscard]] std::set<std::string> jobsOn() const;
     /// Commands, or their answers, are held up for a moment each; its reports go on.
     void holdCommands(Duration span) { holdUntil_ = std::max(holdUntil_, now() + span); }
     void recall(Duration notice);
@@ -92,7 +98,7 @@
     std::map<std::string, TimePoint> images_;  // by when each is there
     std::uint64_t session_ = 1, sequence_ = 0, serials_ = 0;
     FencingToken token_ = 0;
-    TimePoint leaseEnd_{}, tokenToldAt_{}, deafUntil_{}, holdUntil_{};
+    TimePoint leaseEnd_{}, tokenToldAt_{}, deafUntil_{}, holdUntil_{}, muteUntil_{};
     std::optional<TimePoint> notice_;
     bool sick_ = false, gone_ = false, changed_ = false;
     std::size_t node_ = 0;
