--- a/src/fleet/demand.cpp
+++ b/src/fleet/demand.cpp
@@ -45,7 +45,34 @@
     });
 }
 
+void Fleet::measureLimits() {
+    withinLimit_.clear();
+    const auto& teams = cluster_.settings().teams;
+    if (std::none_of(teams.begin(), teams.end(), [](const auto& t) { return t.coresMax > 0; }))
+        return;
+    std::map<std::string, std::map<Priority, double>> wanted;
+    for (const Job* job : cluster_.openJobs())
+        wanted[job->spec.team][job->rank] +=
+            job->spec.demand.cores * (job->spec.tasks - job->doneCount);
+    for (const auto& t : teams) {
+        if (t.coresMax <= 0) continue;
+        double left = t.coresMax;
+        for (const auto& [rank, cores] : wanted[t.name]) {
+            withinLimit_[t.name][rank] = cores > left ? left / cores : 1;
+            left = std::max(0.0, left - cores);
+        }
+    }
+}
+
+double Fleet::withinLimit(const Job& job) const {
+    const auto team = withinLimit_.find(job.spec.team);
+    if (team == withinLimit_.end()) return 1;
+    const auto rank = team->second.find(job.rank);
+    return rank == team->second.end() ? 1 : rank->second;
+}
+
 void Fleet::measure(TimePoint now) {
+    measureLimits();
     std::map<std::string, bool> borrows;
     for (auto& [name, c] : classes_) c.now = 0;
     for (const Job* job : cluster_.openJobs()) {
@@ -60,7 +87,8 @@
         c.each = job->spec.demand;
         c.imageGb = std::max(c.imageGb, job->spec.imageGb);
         if (lent) continue;
-        const double each = job->spec.demand.cores;
+        // What a team's limit does not let run asks for no machines either.
+        const double each = job->spec.demand.cores * withinLimit(*job);
         c.now += each * (job->spec.tasks - job->doneCount);
         c.largestJob = std::max(c.largestJob, each * job->spec.tasks);
     }
@@ -145,7 +173,7 @@
         const auto turn = cluster_.turn(*job, now);
         const double left = turn.hopes ? toSeconds(turn.by - now - lendingDelay) : 0;
         const double over = turn.hopes ? run + std::max(0.0, left) : toSeconds(patientSpan);
-        const double cores = job->spec.demand.cores;
+        const double cores = job->spec.demand.cores * withinLimit(*job);
         const double need = cores * (job->spec.tasks - job->doneCount) * run / over;
         if (!turn.hopes) {
             pace += need;
@@ -190,12 +218,13 @@
             classes_.at(s.jobClass).warm)
             continue;
         running += s.demand.cores * job->boundCount;
-        const double left = s.demand.cores * (s.tasks - job->doneCount);
+        const double share = withinLimit(*job);
+        const double left = share * s.demand.cores * (s.tasks - job->doneCount);
         open += left;
         seconds += left * std::max(1.0, toSeconds(cluster_.runTime(s)));
         if (job->waitingCount() == 0 || now < job->notBefore) continue;
         const auto turn = cluster_.turn(*job, now);
-        if (turn.hopes) queue.push_back({turn.by, s.demand.cores * job->waitingCount()});
+        if (turn.hopes) queue.push_back({turn.by, share * s.demand.cores * job->waitingCount()});
     }
     if (queue.empty()) return 0;
     std::sort(queue.begin(), queue.end(), [](const Wait& a, const Wait& b) { return a.by < b.by; });
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -68,6 +68,9 @@
         double now = 0, smooth = 0, peak = 0, largestJob = 0;
     };
     void measure(TimePoint now);
+    /// How much of what a team's jobs of each rank want its limit lets run, the highest first.
+    void measureLimits();
+    [[nodiscard]] double withinLimit(const Job& job) const;
     /// From when a machine is asked for until a share `q` of the class's tasks that wait for it
     /// run there, on the type that comes soonest of those that serve the class.
     [[nodiscard]] Duration comesWithin(const ClassDemand& c, double q) const;
@@ -106,6 +109,7 @@
     TimePoint measuredAt_{}, sweptAt_{}, sampledAt_{};
     std::deque<std::pair<TimePoint, std::string>> givenUpAt_;  // within a lease, with the zone
     std::map<std::string, ClassDemand> classes_;
+    std::map<std::string, std::map<Priority, double>> withinLimit_;  // shares, of teams with limits
     Target target_;
     bool warm_ = false;  // some class that may use spot machines should start soon
     std::map<MachineIndex, TimePoint> surplusSince_;
--- a/src/fleet/fleet_test.cpp
+++ b/src/fleet/fleet_test.cpp
@@ -237,6 +237,28 @@
     EXPECT_LE(lent, 200U) << "25,000 core seconds within 400 s";
 }
 
+TEST_F(FleetTest, WhatATeamsLimitDoesNotLetRunRentsNothing) {
+    // A team that wanted fifteen times its limit had every machine of the cloud rented for it.
+    const auto rentedFor = [&](double limit) {
+        settings.teams[0].coresMax = limit;
+        scheduler::Cluster other{settings, 1};
+        other.setCatalogue(testing::someCatalogue());
+        Fleet here{other, clock.now()};
+        here.listed({}, clock.now());
+        JobSpec urgent = testing::spec("run-1", 4);
+        urgent.priority = Priority::high;
+        other.submit(urgent, clock.now(), clock.wall());
+        other.submit(testing::spec("run-2", 100), clock.now(), clock.wall());
+        clock.advance(11s);
+        unsigned cores = 0;
+        for (const auto& r : here.plan(clock.now()).rent) cores += r.count * 8;
+        return cores;
+    };
+    EXPECT_GE(rentedFor(0), 416U) << "no limit";
+    EXPECT_LE(rentedFor(40), 64U);
+    EXPECT_GE(rentedFor(40), 40U);
+}
+
 TEST_F(FleetTest, BorrowersGetOrdinaryMachinesWhereNoOthersAreToBeHad) {
     // Found on a day of a small deployment without spot machines: a class of low priority lived on
     // leftovers, the ordinary machines that it used were returned, and a fifth of it was served.
--- a/tools/site_variants.py
+++ b/tools/site_variants.py
@@ -130,6 +130,7 @@
         fault(t + 60, "node_freeze", count=1, busiest=True, for_s=20.0),
         *(crash(t + 62 + s, nodes) for s in range(10))]
     days.update(meetings_of(site, t, lease, nodes, zones))
+    days.update(more_meetings_of(site, t, lease, nodes, zones))
     return days
 
 
@@ -201,6 +202,80 @@
     }
 
 
+def more_meetings_of(site, t, lease, nodes, zones):
+    """Days on which more troubles meet; each with what users do at that moment."""
+    machines = sum(m["count"] for m in site["machines"])
+    span = site["duration_s"] - t
+
+    def looks(at=t - 5, span=150):
+        return fault(at, "close_looks", for_s=span)
+
+    def lost(at, span, share=0.3):
+        return fault(at, "late_writes", share=share, for_s=span, at_once=True)
+
+    def late(at, span, share=0.3):
+        return fault(at, "late_writes", share=share, for_s=span)
+
+    def cancel(at, count=40, **more):
+        return fault(at, "cancel_now", count=count, **more)
+
+    def for_next(at, span, share=0.4):
+        return fault(at, "late_reports", share=share, for_s=span, for_next=True)
+
+    def refused(at, span):
+        return fault(at, "node_cut", count=1, busiest=True, from_state=True, mode="refuse",
+                     for_s=span)
+
+    def cut(at, which, span):
+        return fault(at, "zone_cut", zone=zones[which], for_s=span, mode="hold")
+
+    def mute(at, span, share=0.15):
+        return fault(at, "machine_mute", share=share, for_s=span)
+
+    def hang(at, span, share=0.05):
+        return fault(at, "machine_hang", count=max(2, round(machines * share)), for_s=span)
+
+    return {
+        "more-looks": [looks(), crash(t + 10, 1), crash(t + 40, nodes),
+                       fault(t + 60, "peers_refuse", for_s=15.0),
+                       fault(t + 90, "node_freeze", count=1, busiest=True, for_s=6.0)],
+        "more-lost": [looks(), lost(t, 120), crash(t + 10, 1), cancel(t + 30),
+                      crash(t + 31, 1), fault(t + 60, "state_outage", for_s=8.0),
+                      crash(t + 67.5, 1), crash(t + 90, nodes)],
+        "more-limit": [cancel(t, 30, hang_s=0.4 * lease), crash(t + 0.6, 1),
+                       cut(t + 20, 0, 1.3 * lease), cancel(t + 25, 30, hang_s=1.2 * lease),
+                       crash(t + 26, 1), crash(t + 29, 1), hang(t + 60, 0.8 * lease),
+                       cancel(t + 61, 30), crash(t + 62, 1)],
+        "more-hands": [f for i, step in enumerate((-0.1, 0.05, 0.15, 0.3, 0.6, 1.0, 1.6))
+                       for f in (cancel(t + 18 * i, 25), crash(t + 18 * i + step, 1))]
+                      + [refused(t + 130, 10), cancel(t + 130.2, 25), looks(t, 140)],
+        "more-quick": [fault(t - 10, "boot_trouble", fail=0.0, factor=0.05, for_s=150.0),
+                       late(t, 100, 0.4), hang(t + 2, 2.0 * lease, 0.1),
+                       *(fault(t + 5, "job_burst", **{"class": j["name"]}, factor=3.0, for_s=30.0)
+                         for j in site["jobs"]),
+                       crash(t + 12, 1), crash(t + 25, 1), crash(t + 40, nodes), crash(t + 60, 1)],
+        "more-copies": [for_next(t - 10, 150), crash(t + 5, 1), cancel(t + 20),
+                        fault(t + 22, "machine_die", count=max(2, machines // 20)),
+                        crash(t + 24, 1), crash(t + 60, nodes),
+                        fault(t + 80, "machine_deaf", share=0.1, for_s=0.6 * lease),
+                        crash(t + 100, 1), crash(t + 101.3, 1)],
+        "more-ones": [crash(t + 30, 1), crash(t + 80, nodes), looks(t, 60)],
+        "more-mute": [mute(t, 0.5 * lease), mute(t + lease, 2.0 * lease), crash(t + lease + 10, 1),
+                      cancel(t + lease + 12), mute(t + 3.5 * lease, 0.8 * lease, 0.3)],
+        "more-odd": [fault(t - 10, "odd_requests", for_s=span - 40), crash(t + 20, 1),
+                     fault(t + 50, "state_outage", for_s=12.0), refused(t + 90, 20),
+                     looks(t + 80, 60)],
+        "more-end": [fault(t - 5, "cancel_at_end", share=0.5, for_s=150.0), looks(),
+                     crash(t + 60, 1)],
+        "more-refused": [cancel(t, 40), refused(t, 6),
+                         fault(t + 1, "state_outage", for_s=site["workers"]["cancel_s"] + 10),
+                         looks(t - 3, 30)],
+        "more-ten": [crash(t + 11.5 * i, 1) for i in range(11)]
+                    + [fault(t + 60, "state_outage", for_s=18.0), cancel(t + 30, 20),
+                       cancel(t + 75, 20), looks(t, 120)],
+    }
+
+
 def toml_value(value):
     if isinstance(value, bool):
         return str(value).lower()
@@ -209,6 +284,31 @@
     return f'"{value}"'
 
 
+def ones(site):
+    """One-task jobs, four a second for minutes, a quarter of them cancelled."""
+    known = "".join(f'  {{ name = "{j["name"]}" }},\n' for j in site["jobs"])
+    return (f"jobs = [\n{known}"
+            '  { name = "single-ones", kind = "array", priority = "normal", cpus = 0.5, gpus = 0.0, '
+            "memory_gb = 1.0, vary = 0.3, spot = true, cancelled = 0.25, "
+            "tasks = { sizes = [1], weights = [1.0] }, "
+            "run_s = { median = 10.0, p95 = 20.0, max = 30.0 }, estimate_error = 0.2, "
+            "checkpoint_s = 0.0, save_s = 0.0, images = { count = 1, "
+            "gb = { median = 0.3, p95 = 0.3, max = 0.4 } }, "
+            f"arrivals = {{ rate = 4.0, start_s = {site['warmup_s']}, "
+            f"stop_s = {site['duration_s'] - 60} }} }},\n]\n")
+
+
+def limits(site):
+    """Each team may use about what its share of the machines at the start is."""
+    cores = {m["name"]: m["cpus"] for m in site["machine_types"]}
+    all_cores = sum(m["count"] * cores[m["type"]] for m in site["machines"])
+    each = 0.8 * all_cores / len(site["teams"])
+    rows = "".join(
+        f'  {{ name = "{t["name"]}", weight = {t["weight"]}, cpus_max = {each:.1f} }},\n'
+        for t in site["teams"])
+    return f"teams = [\n{rows}]\n"
+
+
 def write_days(args):
     site = tomllib.loads(pathlib.Path(args.site).read_text())
     out = pathlib.Path(args.dir)
@@ -223,6 +323,10 @@
             arrays = [j["name"] for j in site["jobs"] if j["kind"] == "array"]
             long_runs = "{median = 130.0, p95 = 165.0, max = 190.0}"
             jobs = f'jobs = [{{name = "{arrays[0]}", cancelled = 0.6, run_s = {long_runs}}}]\n'
+        if name == "more-ones":
+            jobs = ones(site)
+        if name == "more-limit":
+            jobs = limits(site)
         (out / f"{name}.toml").write_text(
             f'[[day]]\nname = "{name}"\nslot = "scale"\nlight = false\nseed = {seed}\n{jobs}'
             "faults = [\n" + "\n".join(rows) + "\n]\n")
