A new leader finds muted machines at once and saves what they run

Cause: a machine that a new leader knew by answers only was given its time to report anew, and its lease was counted from the take-over, while it ran out from the last report that a former leader answered. Change: reports of machines on record are due from the take-over on; without an answered report what saves is saved at once. Test: MeetingsTest.ANewLeaderSavesAtOnceWhatAMutedMachineRuns.

--- a/src/scheduler/cluster.cpp
+++ b/src/scheduler/cluster.cpp
@@ -357,7 +357,10 @@
     Machine& m = machines_[i];
     if (m.presence == Presence::gone) return;
     if (m.up() && m.recalledAt) saveBefore(i, *m.recalledAt, now);
-    if (m.up() && m.mute) saveBefore(i, m.leaseEnd, now);
+    // Its lease counts from the last report that was answered; nobody knows which that was if it was
+    // a former leader's.
+    if (m.up() && m.mute)
+        saveBefore(i, m.answeredAt == TimePoint{} ? now : m.answeredAt + settings_.lease, now);
     const bool held = now >= m.leaseEnd && now < possiblyUntil(m, now);
     if (held && !m.charges.empty()) {
         // Answered by a node that holds a delegation, perhaps: what it told may be old, and is
--- a/src/scheduler/meetings_test.cpp
+++ b/src/scheduler/meetings_test.cpp
@@ -327,7 +327,7 @@
         inspect();
     }
     EXPECT_TRUE(job.tasks[0].stopping);
-    EXPECT_GT(cluster->machines()[at].leaseEnd, clock.now() + 2s);
+    EXPECT_GT(cluster->machines()[at].answeredAt + settings.lease, clock.now() + 2s);
     // It reports again.
     beat(mute);
     EXPECT_FALSE(cluster->machines()[at].mute);
@@ -335,6 +335,24 @@
     EXPECT_EQ(cluster->find("run-3")->boundCount, 1U);
 }
 
+TEST_F(MeetingsTest, ANewLeaderSavesAtOnceWhatAMutedMachineRuns) {
+    // When its last report was answered only the former leader knew: its lease may end at any moment.
+    Worker mute("n-1"), other("n-2");
+    JobSpec saves = testing::spec("run-1");
+    saves.checkpointS = 10;
+    saves.saveS = 1;
+    running(mute, saves);
+    takeOver();
+    exchange(other);
+    pass(settings.reportEvery * 5 / 4 + 2s);
+    cluster->report(mute.next(), Cluster::Source::direct, clock.now());
+    pass(500ms);
+    EXPECT_TRUE(cluster->machines()[cluster->indexOf("n-1")].mute) << "it has not reported since";
+    EXPECT_TRUE(cluster->find("run-1")->tasks[0].stopping);
+    const auto stops = cluster->directOrders(cluster->indexOf("n-1"), clock.now());
+    EXPECT_EQ(verbs(stops), std::vector{Verb::stop});
+}
+
 TEST_F(MeetingsTest, CopiesThatComeForMinutesKeepNobodyWaitingForADeadMachine) {
     Worker dead("n-1"), other("n-2");
     Job& job = running(dead, testing::spec("run-1"));
--- a/src/scheduler/records.cpp
+++ b/src/scheduler/records.cpp
@@ -135,6 +135,7 @@
     // The former leader's right had ended before this one's began.
     for (MachineIndex i = 0; i < machines_.size(); ++i) {
         machines_[i].leaseEnd = leaseEnd(now);
+        machines_[i].beatAt = now;  // it has been there: its reports are due from now on
         attendAt(i, machines_[i].leaseEnd);
     }
 }
