--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -14,8 +14,9 @@
 namespace {
 constexpr Duration refusalPause = 15s;
 constexpr unsigned maxPerRequest = 50, maxPerDeletion = 100;  // the cloud takes no more
-constexpr double movedShare = 0.6;   // of a machine that replicas may use when it is returned
-constexpr Duration spareHold = 30s;  // how long an idle machine beyond the target is kept
+constexpr double movedShare = 0.6;    // of a machine that replicas may use when it is returned
+constexpr Duration movedBefore = 8s;  // the end of a lease that is not renewed any more
+constexpr Duration spareHold = 30s;   // how long an idle machine beyond the target is kept
 }  // namespace
 
 void Fleet::listed(const std::vector<Listed>& all, TimePoint now) {
@@ -54,8 +55,7 @@
         (spot ? out.spot : out.ordinary) += coresOf(type);
     };
     for (const auto& m : cluster_.machines())
-        if (m.up() && !m.sick && !m.deaf && !m.mute && !m.recalledAt && !m.draining)
-            count(m.type, m.spot);
+        if (m.up() && !m.sick && !m.deaf && !m.recalledAt && !m.draining) count(m.type, m.spot);
     if (withComing) {
         for (const auto& [name, c] : coming_) count(std::get<0>(c.pool), std::get<2>(c.pool));
         for (const auto& [pool, rent] : asking_)
@@ -86,8 +86,7 @@
 std::uint32_t Fleet::ordinaryOf(const std::string& type) const {
     std::uint32_t n = 0;
     for (const auto& m : cluster_.machines())
-        if (m.up() && !m.spot && !m.sick && !m.deaf && !m.mute && !m.draining && m.type == type)
-            ++n;
+        if (m.up() && !m.spot && !m.sick && !m.deaf && !m.draining && m.type == type) ++n;
     for (const auto& [name, c] : coming_)
         if (std::get<0>(c.pool) == type && !std::get<2>(c.pool)) ++n;
     for (const auto& [pool, rent] : asking_)
@@ -142,8 +141,10 @@
     Have have = this->have(true);
     for (MachineIndex i = 0; i < cluster_.machines().size(); ++i) {
         const Machine& m = cluster_.machines()[i];
-        // What a machine that does not report runs ends with its lease.
-        if (m.mute && m.up()) cluster_.moveReplicas(i, now);
+        // What a machine that does not report runs ends with its lease. Moved at the first sign
+        // replicas were away more than by the leases: most such machines report again in time.
+        if (m.mute && m.up() && cluster_.renewedUntil(m, now) - now < movedBefore)
+            cluster_.moveReplicas(i, now);
         if (!m.draining || !m.up()) continue;
         if (m.charges.empty()) {
             dead_.insert(m.name);
--- a/src/scheduler/cluster.cpp
+++ b/src/scheduler/cluster.cpp
@@ -147,6 +147,10 @@
     return std::max(m.leaseEnd, delegator_->leasesEnd(m.zone, now));
 }
 
+TimePoint Cluster::renewedUntil(const Machine& m, TimePoint now) const {
+    return m.answeredAt == TimePoint{} ? now : m.answeredAt + settings_.lease;
+}
+
 void Cluster::setAway(const std::string& zone, bool away) {
     if (away == away_.contains(zone)) return;
     if (away)
@@ -357,10 +361,7 @@
     Machine& m = machines_[i];
     if (m.presence == Presence::gone) return;
     if (m.up() && m.recalledAt) saveBefore(i, *m.recalledAt, now);
-    // Its lease counts from the last report that was answered; nobody knows which that was if it was
-    // a former leader's.
-    if (m.up() && m.mute)
-        saveBefore(i, m.answeredAt == TimePoint{} ? now : m.answeredAt + settings_.lease, now);
+    if (m.up() && m.mute) saveBefore(i, renewedUntil(m, now), now);
     const bool held = now >= m.leaseEnd && now < possiblyUntil(m, now);
     if (held && !m.charges.empty()) {
         // Answered by a node that holds a delegation, perhaps: what it told may be old, and is
--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -100,6 +100,9 @@
     [[nodiscard]] TimePoint delegationCap(const std::string& zone, TimePoint now) const;
     /// When what is on the machine has surely been killed with its lease, if nothing is heard.
     [[nodiscard]] TimePoint possiblyUntil(const workers::Machine& m, TimePoint now) const;
+    /// How long a lease lasts that nothing renews any more: from the last report that was answered;
+    /// perhaps no longer, if that was by a former leader.
+    [[nodiscard]] TimePoint renewedUntil(const workers::Machine& m, TimePoint now) const;
     /// A zone that is cut off with its controllers gets no more work until it is back.
     void setAway(const std::string& zone, bool away);
     [[nodiscard]] bool away(const std::string& zone) const { return away_.contains(zone); }
--- a/src/scheduler/offers.cpp
+++ b/src/scheduler/offers.cpp
@@ -32,10 +32,9 @@
 }
 
 bool Cluster::open(const Machine& m) const {
-    // What answers but has not reported for a while is about to lose its lease.
-    return fresh(m, now_) && now_ - m.beatAt < settings_.reportEvery * 2 && reportsFit(m) &&
-           !m.sick && !m.draining && !m.recalledAt && !away_.contains(m.zone) &&
-           now_ >= m.avoidUntil && !m.deaf && !m.mute && catalogue_.contains(m.type);
+    return fresh(m, now_) && reportsFit(m) && !m.sick && !m.draining && !m.recalledAt &&
+           !away_.contains(m.zone) && now_ >= m.avoidUntil && !m.deaf &&
+           catalogue_.contains(m.type);
 }
 
 Offer Cluster::offerOf(MachineIndex machine) const {
@@ -44,6 +43,9 @@
     o.type = m.type;
     o.zone = m.zone;
     o.spot = m.spot;
+    // Closed to replicas too they cost users more than by the leases that end: where every machine
+    // is in use there is no other room, and replicas start again on them at once.
+    o.mute = m.mute || now_ - m.beatAt >= settings_.reportEvery * 2;
     if (const auto pool = pools_.find(m.type); pool != pools_.end())
         o.distance = pool->second.distance(machine);
     o.free = freeOn(m);
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -17,6 +17,7 @@
 constexpr Duration settledReplica = 40s;  // a start that is stopped sooner does not count as one
 constexpr Duration nextLook = 1s;         // what waits is looked at again, as its order changes
 constexpr std::size_t replicaLooks = 12;  // machines of a kind that are compared for a replica
+constexpr double lastResort = 60;         // seconds that any other machine may cost instead
 constexpr double richness = 1.5;          // against the share of a machine that stays free
 
 }  // namespace
@@ -107,8 +108,10 @@
         return fits(s.demand, free);
     };
     for (const auto& [key, pool] : room_.pools()) {
-        const auto& [type, zone, spot, lasting, distance] = key;
-        if (!allowed(job, type, zone, spot, planned)) continue;
+        const auto& [type, zone, spot, lasting, mute, distance] = key;
+        // A replica is there again at once, whatever ends it; other work would be lost.
+        if (!allowed(job, type, zone, spot, planned) || (mute && s.shape != Shape::service))
+            continue;
         const double whole = std::max(catalogue_.at(type).capacity.cores, 1.0);
         // Seconds until it runs, then: leave ordinary machines to work that needs them, and
         // fill the fullest machine that has room so that whole ones stay whole. Low-priority
@@ -116,8 +119,8 @@
         // What comes and goes keeps off ordinary machines with replicas, and replicas off the
         // others, so that a machine taken for a peak is empty after it.
         const bool mixes = !spot && lasting != (s.shape == Shape::service);
-        const double base =
-            (s.spotAllowed && !spot ? 4 : 0) + (mixes ? 1 : 0) + 0.5 * (2 - distance);
+        const double base = (s.spotAllowed && !spot ? 4 : 0) + (mixes ? 1 : 0) +
+                            0.5 * (2 - distance) + (mute ? lastResort : 0);
         const auto consider = [&](const RoomSet& machines, double delay) {
             if (base + delay >= bestCost) return;
             std::size_t looked = 0;
--- a/src/scheduler/preemption.cpp
+++ b/src/scheduler/preemption.cpp
@@ -95,7 +95,8 @@
             victims = std::move(chosen);
         };
         for (const auto& [key, pool] : room_.pools()) {
-            const auto& [type, zone, spot, lasting, distance] = key;
+            const auto& [type, zone, spot, lasting, mute, distance] = key;
+            if (mute) continue;
             if (!allowed(job, type, zone, spot, planned)) continue;
             std::size_t looked = 0;
             pool.reclaimable[rank].ascend(s.demand, [&](MachineIndex i) {
--- a/src/scheduler/reports.cpp
+++ b/src/scheduler/reports.cpp
@@ -275,7 +275,7 @@
     const Duration overdue = settings_.reportEvery * 5 / 4 + reportDelay;
     if (now - m.beatAt <= overdue) return;
     if (!std::exchange(m.mute, true)) {
-        spdlog::warn("machine {} answers, but its reports do not come: no more work for it",
+        spdlog::warn("machine {} answers, but its reports do not come: used last from now on",
                      m.name);
         changed(machine);
     }
--- a/src/scheduler/room.cpp
+++ b/src/scheduler/room.cpp
@@ -26,7 +26,7 @@
 }
 
 void Room::count(Warm& warm, const Offer& offer, bool add) {
-    const std::uint32_t n = offer.spot ? 0 : copies(warm.each, offer.free);
+    const std::uint32_t n = offer.spot || offer.mute ? 0 : copies(warm.each, offer.free);
     if (n == 0) return;
     for (const auto& image : offer.images) {
         std::uint32_t& room = warm.room[image];
@@ -36,7 +36,7 @@
 }
 
 void Room::list(MachineIndex machine, const Offer& o) {
-    Pool& pool = pools_[{o.type, o.zone, o.spot, o.lasting, o.distance}];
+    Pool& pool = pools_[{o.type, o.zone, o.spot, o.lasting, o.mute, o.distance}];
     pool.all.insert(o.free, machine);
     for (const auto& image : o.images) pool.cached[image].insert(o.free, machine);
     for (const auto& image : o.fetching) pool.fetching[image].insert(o.free, machine);
@@ -47,7 +47,7 @@
 }
 
 void Room::unlist(MachineIndex machine, const Offer& o) {
-    const auto at = pools_.find({o.type, o.zone, o.spot, o.lasting, o.distance});
+    const auto at = pools_.find({o.type, o.zone, o.spot, o.lasting, o.mute, o.distance});
     Pool& pool = at->second;
     const auto drop = [&](std::map<std::string, RoomSet>& sets, const std::string& image) {
         const auto set = sets.find(image);
@@ -111,7 +111,7 @@
 
 bool Room::staysWarm(MachineIndex machine, const Demand& taken, Priority rank) const {
     const Offer* o = of(machine);
-    if (o == nullptr || o->spot) return true;
+    if (o == nullptr || o->spot || o->mute) return true;
     Demand left = o->free;
     left -= taken;
     for (const auto& [name, w] : warm_) {
--- a/src/scheduler/room.h
+++ b/src/scheduler/room.h
@@ -27,6 +27,7 @@
     std::string type, zone;
     bool spot = false;
     bool lasting = false;  // has replicas on it
+    bool mute = false;     // what is put there ends with a lease that nothing may renew
     int distance = 2;      // from guaranteed cells
     Demand free;           // beside all that is possibly on it
     /// By rank: what would be free if all gave way that may be stopped for work of that rank.
@@ -83,8 +84,8 @@
         std::array<RoomSet, Offer::preempting> reclaimable;
         bool operator==(const Pool&) const = default;
     };
-    /// Type, zone, spot, lasting, distance.
-    using PoolKey = std::tuple<std::string, std::string, bool, bool, int>;
+    /// Type, zone, spot, lasting, mute, distance.
+    using PoolKey = std::tuple<std::string, std::string, bool, bool, bool, int>;
 
     void offer(MachineIndex machine, const Offer& offer);
     void withdraw(MachineIndex machine);
--- a/src/workers/machine.h
+++ b/src/workers/machine.h
@@ -71,8 +71,8 @@
     std::uint32_t answers = 0, unheeded = 0;
     TimePoint answeredAt{}, deafUntil{};
     bool deaf = false;
-    /// It answers, but its reports do not come: nothing renews its lease. No more work goes there,
-    /// and what can be saved or moved is, until it reports again.
+    /// It answers, but its reports do not come: nothing renews its lease. Work goes there only where
+    /// there is no other room, and what can be saved or moved is, until it reports again.
     bool mute = false;
     std::uint32_t unanswered = 0;           // times it was asked in vain since its last news
     TimePoint attendAt = TimePoint::max();  // when the passing of time next changes something here
