--- a/src/testing/world_test.cpp
+++ b/src/testing/world_test.cpp
@@ -43,7 +43,12 @@
     const auto id = static_cast<unsigned>(::getpid());
     const auto part = [&](unsigned shift) { return std::to_string(id >> shift & 0xffU); };
     const std::string net = "127." + std::to_string(1 + (id >> 16 & 0x7fU)) + '.';
-    return Listener(loop, net + part(8) + '.' + part(0) + ":0").address();
+    // The system may hand out a port again that nobody listens on yet.
+    static std::set<std::string> handedOut;
+    while (true) {
+        auto address = Listener(loop, net + part(8) + '.' + part(0) + ":0").address();
+        if (handedOut.insert(address).second) return address;
+    }
 }
 
 void commitAll(scheduler::Cluster& cluster, std::map<std::string, std::string>& records) {
