--- a/src/lab/world_test.cpp
+++ b/src/lab/world_test.cpp
@@ -194,6 +194,16 @@
     EXPECT_EQ(
         wrongIn(with(R"(,"faults":[{"atS":1,"kind":"machine_deaf","forS":-1}])")).substr(0, 16),
         "#/faults/0/forS:");
+    for (const char* share : {"-0.1", "1.5", "\"half\""})
+        EXPECT_EQ(wrongIn(with(R"(,"faults":[{"atS":1,"kind":"answers_lost","share":)" +
+                               std::string(share) + "}]"))
+                      .substr(0, 17),
+                  "#/faults/0/share:")
+            << share;
+    EXPECT_EQ(wrongIn(with(R"(,"faults":[{"atS":99,"kind":"close_looks"}])")),
+              "#/faults/0/atS: expected a time within the run");
+    EXPECT_EQ(wrongIn(with(R"(,"swarm":{"fromS":5,"toS":50,"thenLeaderEnds":true})")),
+              "#/swarm/thenLeaderEnds: expected pairs beside it");
     EXPECT_EQ(wrongIn(with(R"(,"shown":{"beginS":"4 min"}})")).substr(0, 8), "not JSON");
     const auto pairs = [&](const std::string& list, const std::string& to = "50") {
         return wrongIn(with(R"(,"swarm":{"fromS":5,"toS":)" + to + R"(,"pairs":)" + list + "}"));
