--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -172,6 +172,7 @@
         self.latency = 0.004
         self.addresses = {}
         self.odd_bodies = 0
+        self.slow_answer = None  # function(node, transaction) -> seconds that its answer takes, after it was applied
         self.late_writes = None  # function(node, transaction) -> seconds to be late and unanswered, or None
 
     async def start(self, nodes):
@@ -278,7 +279,10 @@
             self.record("state service", f"transaction of {node} held back for {late:.1f} s")
             await asyncio.sleep(late)
             return None
-        return await self.apply(doc, size)
+        answer = await self.apply(doc, size)
+        if self.slow_answer:
+            await asyncio.sleep(self.slow_answer(node, doc))
+        return answer
 
     async def apply(self, doc, size, how=""):
         changes = doc.get("then", [])
@@ -636,9 +640,15 @@
 # ---------------------------------------------------------------- controllers, users and the whole site
 
 def free_port():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+    """A free port below those that the system gives to outgoing connections: it stays free while nobody listens."""
+    while True:
+        port = random.randrange(15000, 32000)
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 class Controller:
@@ -701,6 +711,7 @@
         self.before_done = None
         self.broken = []
         self.mesh_proxy = {}
+        self.processes = []  # of others, to be ended with the site
 
     def mesh_address(self, source, target):
         return self.mesh_proxy.get((source.name, target.name), f"127.0.0.1:{target.mesh}")
@@ -790,6 +801,12 @@
     def stop(self):
         for c in self.controllers:
             c.kill()
+        for p in self.processes:
+            if p.returncode is None:
+                try:
+                    p.kill()
+                except ProcessLookupError:
+                    pass
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
@@ -801,7 +818,7 @@
     """Runs `await scenario(folder, trouble, sites)` -> rules that were broken. Exits with 1, 0 or 2, within 120 s."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     sites = []
-    random.seed(int(os.environ.get("SEED", "1")))
+    random.seed(os.environ.get("SEED") or None)
 
     def finish(code, lines):
         """Ends all that was started, and this process at once: nothing is left to wait for."""
