--- a/review/standins/broker.cpp
+++ b/review/standins/broker.cpp
@@ -1,13 +1,14 @@
-// The project's own stand-in broker (src/gateway/testing) as a process of its own, on the real clock. Publishes what
-// standard input tells, "publish QUEUE COUNT BODY", and writes to standard output what became of the messages.
+// The project's own stand-in broker (src/gateway/testing) as a process of its own, on the real
+// clock. Publishes what standard input tells, "publish QUEUE COUNT BODY", and writes to standard
+// output what became of the messages.
+#include "gateway/testing/broker.h"
+
 #include <fcntl.h>
 #include <unistd.h>
 
 #include <iostream>
 #include <sstream>
 
-#include "gateway/testing/broker.h"
-
 using namespace basaltchute;
 
 namespace {
