Review, case 3: the cloud has what the site file lists

Other machines can be rented now, as many as the site file gives; the jobs name the zone whose one ordinary grain-rack is up.

--- a/review/3/scenario.py
+++ b/review/3/scenario.py
@@ -28,8 +28,12 @@
 
 
 async def scenario(folder, trouble, sites):
-    # The cloud has no more grain-racks than the one that is up.
-    site = Site(folder, PARAMS, RIGS, [ZONES[0], ZONES[1], ZONES[0]], stock={})
+    # What the cloud has beside the machines that are up, as in the site file: the one ordinary grain-rack of west-bench
+    # is up, so there is no other.
+    stock = {("shed-box", ZONES[0], False): 7, ("shed-box", ZONES[0], True): 6, ("shed-box", ZONES[1], False): 4,
+             ("shed-box", ZONES[1], True): 5, ("grain-rack", ZONES[0], False): 1, ("grain-rack", ZONES[0], True): 1,
+             ("grain-rack", ZONES[1], True): 1}
+    site = Site(folder, PARAMS, RIGS, [ZONES[0], ZONES[1], ZONES[0]], stock)
     sites.append(site)
     record = site.record
     await site.start()
@@ -52,7 +56,8 @@
     if trouble:
         rack.sick = True
         record("trouble", f"{rack.name} fails every task that it starts")
-    sweep = {"cores": 8.0, "ramGb": 9.6, "build": "img-01"}
+    # Only an ordinary grain-rack in west-bench can hold these.
+    sweep = {"cores": 8.0, "ramGb": 9.6, "build": "img-01", "hall": "west-bench"}
     for ref in ("run-000002", "run-000003"):
         site.run_time[ref] = 5.0
         if not await site.submit(site.job(ref, **sweep)):
