JSON: refuse text with an unpaired surrogate

Cause: RapidJSON 1.1 checks the encoding of the bytes that it reads, but writes the escape of a lone low surrogate out as the bytes ED B0 80, which are no UTF-8. So json::parse accepted what it could not write again. The submission passed, and its record was a value that the state service refuses for good.

Change: json::parse returns nothing where a string of the document is not Unicode text, so that whatever is read can be written. It looks at strings only where the text has a \u escape: heartbeats cost what they did. All texts that reach records come through it: submissions, heartbeats, the cloud's answers, settings, bodies of AMQP messages. The simulator's state service refuses what is not JSON, as the protocol says, and its users send such a submission among their odd requests.

--- a/src/controller/controller_test.cpp
+++ b/src/controller/controller_test.cpp
@@ -222,6 +222,27 @@
     EXPECT_EQ(status(2, "run-2"), "404") << "none of them was accepted";
 }
 
+TEST_F(ControllerTest, SubmissionsWithAnUnpairedSurrogateAreRefusedAndDelayNoOtherJob) {
+    // Guards against submissions that the state service refuses for good: with three of them no
+    // other user's job was started or reported as done any more.
+    start(3);
+    for (const char* field : {"build", "category", "crew", "hall"}) {
+        std::string body = testing::submission(std::string("run-9-") + field);
+        if (const auto at = body.find('"' + std::string(field) + "\":\""); at != std::string::npos)
+            body.insert(at + std::string(field).size() + 4, R"(\udc00)");
+        else
+            body.insert(1, '"' + std::string(field) + R"(":"\udc00",)");
+        for (std::size_t node = 0; node < 3; ++node)
+            EXPECT_EQ(ask(node, "POST", "/v1/jobs", body).response.status, 400) << body;
+        EXPECT_EQ(status(0, std::string("run-9-") + field), "404");
+    }
+    const TimePoint submittedAt = world.clock.now();
+    EXPECT_EQ(ask(1, "POST", "/v1/jobs", testing::submission("run-2")).response.status, 201);
+    EXPECT_LT(world.clock.now() - submittedAt, 200ms);
+    EXPECT_EQ(json::count(*json::parse(state.keys.at("lead/token").data), "format"), std::nullopt)
+        << "no record was divided, so the stored format is as it was";
+}
+
 TEST_F(ControllerTest, DependentJobsAreAcceptedThroughAnyNodeAndCancelledTogether) {
     start(3);
     EXPECT_EQ(submit(0, "run-1", "null"), 201);
--- a/src/json/json.cpp
+++ b/src/json/json.cpp
@@ -1,5 +1,8 @@
 #include "json/json.h"
 
+#include <rapidjson/encodings.h>
+#include <rapidjson/memorystream.h>
+
 #include <cmath>
 
 namespace basaltchute::json {
@@ -7,30 +10,55 @@
 namespace {
 constexpr int maxDepth = 64;
 
-/// Whether the text nests deeper than `maxDepth`. The parser is iterative, but the destructor of a
+/// What has to be known of a text before it is parsed.
+struct TextProperties {
+    bool tooDeep = false;  // it nests deeper than `maxDepth`
+    bool hasUnicodeEscapes = false;
+};
+
+/// Scans the text up to where it nests too deeply. The parser is iterative, but the destructor of a
 /// document is not.
-bool tooDeep(std::string_view text) {
+TextProperties scan(std::string_view text) {
+    TextProperties properties;
     int depth = 0;
     bool inString = false;
-    for (std::size_t i = 0; i < text.size(); ++i) {
+    for (std::size_t i = 0; i < text.size() && !properties.tooDeep; ++i) {
         const char c = text[i];
         if (inString) {
-            if (c == '\\')
+            if (c == '\\') {
                 ++i;
-            else if (c == '"')
+                if (i < text.size() && text[i] == 'u') properties.hasUnicodeEscapes = true;
+            } else if (c == '"') {
                 inString = false;
+            }
         } else if (c == '"') {
             inString = true;
         } else if (c == '{' || c == '[') {
-            if (++depth > maxDepth) return true;
+            properties.tooDeep = ++depth > maxDepth;
         } else if (c == '}' || c == ']') {
             --depth;
         }
     }
-    return false;
+    return properties;
 }
+
+/// Accepts a document if all of its strings are Unicode text. RapidJSON 1.1 checks the encoding of
+/// its input, but turns the escape of an unpaired low surrogate into bytes that are not UTF-8.
+struct UnicodeChecker : rapidjson::BaseReaderHandler<rapidjson::UTF8<>, UnicodeChecker> {
+    static bool String(const char* text, rapidjson::SizeType length, bool /*copy*/) {
+        return isUnicode({text, length});
+    }
+};
 }  // namespace
 
+bool isUnicode(std::string_view text) {
+    rapidjson::MemoryStream in(text.data(), text.size());
+    unsigned codePoint = 0;
+    while (in.Tell() < text.size())
+        if (!rapidjson::UTF8<>::Decode(in, &codePoint)) return false;
+    return true;
+}
+
 std::string text(const Value& value) {
     rapidjson::StringBuffer buffer;
     rapidjson::Writer<rapidjson::StringBuffer> writer(buffer);
@@ -39,11 +67,14 @@
 }
 
 std::optional<Document> parse(std::string_view text) {
-    if (tooDeep(text)) return std::nullopt;
+    const TextProperties properties = scan(text);
+    if (properties.tooDeep) return std::nullopt;
     Document d;
     d.Parse<rapidjson::kParseIterativeFlag | rapidjson::kParseValidateEncodingFlag>(text.data(),
                                                                                     text.size());
     if (d.HasParseError()) return std::nullopt;
+    UnicodeChecker checker;
+    if (properties.hasUnicodeEscapes && !d.Accept(checker)) return std::nullopt;
     return d;
 }
 
--- a/src/json/json.h
+++ b/src/json/json.h
@@ -15,9 +15,14 @@
 using Document = rapidjson::Document;
 
 /// Parses without recursion, so that deeply nested input cannot exhaust the stack. Returns nothing
-/// if the text is not JSON, or is nested deeper than any document that is expected.
+/// if the text is not JSON, if a string in it is not Unicode text (an escaped surrogate without its
+/// other half), or if it is nested deeper than any document that is expected. So whatever is read
+/// can be written as JSON again.
 std::optional<Document> parse(std::string_view text);
 
+/// Whether the text is valid UTF-8, as every string in JSON must be.
+[[nodiscard]] bool isUnicode(std::string_view text);
+
 /// Serializes the value.
 std::string text(const Value& value);
 
--- a/src/simulator/state_service.cpp
+++ b/src/simulator/state_service.cpp
@@ -67,6 +67,7 @@
 
 http::Response StateService::executeTransaction(const std::string& body) {
     const auto doc = json::parse(body);
+    if (!doc) return {400, R"({"error":"not JSON"})"};
     json::Writer out;
     std::vector<std::string> failed;
     if ((*doc)["then"].Size() > limits_.txnOps || body.size() > std::size_t{64} * 1024)
--- a/src/simulator/users.cpp
+++ b/src/simulator/users.cpp
@@ -260,7 +260,7 @@
         doc.RemoveMember(field.c_str());
         body = json::text(doc);
     };
-    switch (static_cast<int>(time_.between(0, 7))) {
+    switch (static_cast<int>(time_.between(0, 8))) {
         case 0:
             why = "no type is as large";
             spec.demand.cores = 1e5;
@@ -284,6 +284,11 @@
         case 5:
             without("build");
             break;
+        case 6:
+            without("build");
+            why = "its image is an unpaired surrogate";
+            body.insert(1, R"("build":"\udc00",)");
+            break;
         default:
             without("together");
             break;
