A record that the state service refuses for good delays no other

Change: - A record that is refused in a transaction of its own is tried again at intervals of 1 s to 60 s, or dropped by its owner; the writer stays healthy, others go on, and the batch limit is as before. - The writer tells whether a value of that size was accepted since the last refusal. Only what may be too large is divided, and for that job alone: the limit becomes that of all jobs once the parts of a refused record are stored, which shows that its size was the reason. - What cannot be too large: a submission is dropped (its user is told 503, its machines are free, the id may be submitted again), a record of an accepted job is retried. - Refused statistics no longer lower the limit of jobs.

RefusedRecordsTest (5), two of TransactionWriterTest and DependencyGraphTest.RemovedJob... cover the parts; they use the new interface and do not build on the former code. UpgradeTest's and the writer's tests on values that are too large keep their expectations.

--- a/src/controller/controller_test.cpp
+++ b/src/controller/controller_test.cpp
@@ -243,6 +243,46 @@
         << "no record was divided, so the stored format is as it was";
 }
 
+TEST_F(ControllerTest, RecordsThatTheStateServiceRefusesForGoodDelayNoOtherJob) {
+    // Guards against refused records that are written again without a pause: no other job was
+    // started or reported as done until the leader changed.
+    start(3);
+    std::string refused = "run-9";
+    state.fault = [&](const http::Request& r) -> simulator::StateService::Fault {
+        const bool matches = r.target == "/multi" && r.body.find(refused) != std::string::npos;
+        return {matches ? simulator::StateService::Fault::Kind::malformed
+                        : simulator::StateService::Fault::Kind::none,
+                {}};
+    };
+    unsigned sequence = 0;
+    const std::size_t leading = leader();
+    const auto commands = [&] {
+        return ask(leading, "POST", "/agent/beat", heartbeat(++sequence, token())).response.body;
+    };
+    commands();
+    for (int round = 0; round < 3; ++round) {
+        for (const char* id : {"run-91", "run-92", "run-93"})
+            EXPECT_EQ(ask(0, "POST", "/v1/jobs", testing::submission(id)).response.status, 503);
+        world.run(1s);
+    }
+    EXPECT_EQ(status(0, "run-91"), "404") << "it was not accepted, and is forgotten";
+    commands();
+    TimePoint submittedAt = world.clock.now();
+    EXPECT_EQ(ask(1, "POST", "/v1/jobs", testing::submission("run-2")).response.status, 201);
+    EXPECT_LT(world.clock.now() - submittedAt, 500ms);
+    EXPECT_NE(commands().find(R"("launch","split":"run-2/0")"), std::string::npos)
+        << "the dropped jobs hold no machine";
+    // The records of an accepted job are refused from now on: it alone has to wait.
+    refused = "run-2";
+    EXPECT_EQ(ask(1, "POST", "/v1/jobs/run-2/withdraw").response.status, 503);
+    submittedAt = world.clock.now();
+    EXPECT_EQ(ask(1, "POST", "/v1/jobs", testing::submission("run-3")).response.status, 201);
+    EXPECT_LT(world.clock.now() - submittedAt, 500ms);
+    refused = "none of them";
+    world.run(10s);
+    EXPECT_EQ(status(1, "run-2"), "cancelled") << "retried, and stored at last";
+}
+
 TEST_F(ControllerTest, DependentJobsAreAcceptedThroughAnyNodeAndCancelledTogether) {
     start(3);
     EXPECT_EQ(submit(0, "run-1", "null"), 201);
--- a/src/controller/leader_term.cpp
+++ b/src/controller/leader_term.cpp
@@ -86,11 +86,16 @@
     election_.stepDown("another leader key is stored");
 }
 
-kv_store::TooLargeAction LeaderTerm::onTooLarge(const std::string& key, std::size_t bytes) {
-    spdlog::warn("record is too large for the state service: key={} bytes={}", key, bytes);
-    cluster_.onRecordTooLarge(key, bytes);
+kv_store::RefusedRecordAction LeaderTerm::onRecordRefused(const kv_store::RefusedRecord& record) {
+    if (record.key.starts_with(statisticsPrefix)) {
+        spdlog::warn("statistics are refused by the state service: key={} bytes={}", record.key,
+                     record.bytes);
+        return kv_store::RefusedRecordAction::drop;  // written again once they have changed
+    }
+    const auto action = cluster_.onRecordRefused(record);
+    recordWritten_.notify();
     wakeScheduler();
-    return kv_store::TooLargeAction::drop;
+    return action;
 }
 
 void LeaderTerm::start() {
@@ -382,9 +387,12 @@
 }
 
 template <typename Predicate>
-Task<bool> LeaderTerm::waitUntilDurable(Predicate isDurable) {
+Task<bool> LeaderTerm::waitUntilDurable(JobId id, Predicate isDurable) {
     const TimePoint until = loop_.now() + durabilityTimeout;
-    while (!isDurable()) {
+    while (true) {
+        const Job* job = cluster_.find(id);
+        if (job == nullptr) co_return false;
+        if (isDurable(*job)) break;
         // While the state service refuses writes, the user is told at once when to try again. The
         // job stays queued for its write.
         if (!writer_.healthy() || loop_.now() >= until || !mayAct()) co_return false;
@@ -426,9 +434,8 @@
     if (!ready()) co_return serviceUnavailable();
     const JobSpec& spec = std::get<JobSpec>(parsed);
     if (cluster_.isUnreadable(spec.id)) co_return serviceUnavailable();
-    Job* job = cluster_.find(spec.id);
     bool isNew = false;
-    if (job == nullptr) {
+    if (cluster_.find(spec.id) == nullptr) {
         if (cluster_.catalogue().empty()) co_return serviceUnavailable();
         auto refused = co_await checkDependencies(spec);
         if (!mayAct()) co_return serviceUnavailable();
@@ -447,7 +454,6 @@
             case scheduler::SubmitResult::accepted:
                 break;
         }
-        job = cluster_.find(spec.id);
         isNew = true;
         // Tasks are placed before the first write, so that one write holds both acceptance and
         // bindings.
@@ -455,12 +461,13 @@
             wakeScheduler();
         applyEffects();
     }
-    const bool accepted = co_await waitUntilDurable([job] { return job->accepted(); });
+    const bool accepted = co_await waitUntilDurable(
+        spec.id, [](const Job& submitted) { return submitted.accepted(); });
     if (!accepted) co_return serviceUnavailable();
-    spdlog::debug("job accepted: job={}", job->spec.id);
+    spdlog::debug("job accepted: job={}", spec.id);
     // A job that depends on a cancelled job is cancelled on submission. It must not be reported as
     // pending long after the user was told that the other job is cancelled.
-    auto response = co_await query(job->spec.id);
+    auto response = co_await query(spec.id);
     if (isNew && response.status == 200) response.status = 201;
     co_return response;
 }
@@ -486,9 +493,12 @@
     if (job == nullptr) co_return errorResponse(404, "no such job");
     cluster_.cancel(*job, loop_.now());
     applyEffects();
-    const bool durable = co_await waitUntilDurable([job] {
-        return job->accepted() && (job->cancelled ? job->cancelDurable() : job->doneDurable());
+    const bool durable = co_await waitUntilDurable(id, [](const Job& cancelled) {
+        return cancelled.accepted() &&
+               (cancelled.cancelled ? cancelled.cancelDurable() : cancelled.doneDurable());
     });
+    job = cluster_.find(id);  // its submission may have been dropped
+    if (job == nullptr) co_return serviceUnavailable();
     if (!durable) {
         // The cancellation is on record and carried out on all machines that can be reached. If a
         // zone that is cut off may still run tasks of the job, Retry-After says when those must
--- a/src/controller/leader_term.h
+++ b/src/controller/leader_term.h
@@ -107,17 +107,18 @@
     void onCommitted(const std::string& key, std::uint64_t version) override;
     void onWriteFailed() override { recordWritten_.notify(); }
     void onFenced() override;
-    kv_store::TooLargeAction onTooLarge(const std::string& key, std::size_t bytes) override;
+    kv_store::RefusedRecordAction onRecordRefused(const kv_store::RefusedRecord& record) override;
     /// Writes changed runtime statistics at intervals, for the next leader.
     Task<void> persistStatistics();
     Task<void> loadStatistics();
     Task<void> scaleOut(autoscaler::ScaleOutRequest request);
     /// Keeps the machine catalogue and the list of machines up to date with the cloud.
     Task<void> pollCloud();
-    /// Waits until `isDurable` holds; false as soon as the state service refuses writes or the term
-    /// may not act, or after `durabilityTimeout`.
+    /// Waits until `isDurable` holds for the job; false as soon as the state service refuses
+    /// writes, the job's submission is dropped or the term may not act, or after
+    /// `durabilityTimeout`.
     template <typename Predicate>
-    Task<bool> waitUntilDurable(Predicate isDurable);
+    Task<bool> waitUntilDurable(JobId id, Predicate isDurable);
     void wakeScheduler();
     /// Carries out what the cluster asks for: writes, commands and probes.
     void applyEffects();
--- a/src/dependencies/dependency_graph.cpp
+++ b/src/dependencies/dependency_graph.cpp
@@ -123,6 +123,17 @@
     propagateUrgency({&node});
 }
 
+void DependencyGraph::removeJob(const JobId& id) {
+    const auto it = nodes_.find(id);
+    if (it == nodes_.end()) return;
+    Node& node = it->second;
+    // A cancelled job passes on no urgency, so its dependencies lose what they have counted of it.
+    node.outcome = JobOutcome::cancelled;
+    propagateUrgency({&node});
+    for (Node* dependency : node.dependencies) std::erase(dependency->dependents, &node);
+    nodes_.erase(it);
+}
+
 void DependencyGraph::cancelDependents(Node& node) {
     Pending pending{&node};
     std::vector<Node*> toVisit{&node};
--- a/src/dependencies/dependency_graph.h
+++ b/src/dependencies/dependency_graph.h
@@ -53,6 +53,9 @@
     /// for a job, and earlier for its dependencies. A dependency that is not in the graph is added
     /// as an open job without properties.
     void addDependencies(const JobId& id, const std::vector<JobId>& dependencies);
+    /// Removes a job that no other job depends on, as if it had never been added. Does nothing if
+    /// it is not in the graph.
+    void removeJob(const JobId& id);
     /// The job is durably done or cancelled. The first outcome is final: later calls do nothing.
     void setOutcome(const JobId& id, JobOutcome outcome);
     /// Replaces the estimate of how long the job takes.
--- a/src/dependencies/dependency_graph_test.cpp
+++ b/src/dependencies/dependency_graph_test.cpp
@@ -96,6 +96,26 @@
     EXPECT_EQ(graph.findInconsistency(), "");
 }
 
+TEST_F(DependencyGraphTest, RemovedJobTakesBackItsUrgencyAndCanBeAddedAgain) {
+    addPipeline();
+    const InheritedUrgency clip = graph.inheritedUrgency("clip");
+    const auto urgent = properties(Priority::production, 5s, deadlinesAt(30s, 40s));
+    for (int round = 0; round < 2; ++round) {
+        add("report", {"split-1", "split-2"}, urgent);
+        EXPECT_EQ(graph.inheritedUrgency("clip").priority, Priority::production);
+        graph.removeJob("report");
+        EXPECT_FALSE(graph.contains("report"));
+        EXPECT_EQ(graph.inheritedUrgency("clip"), clip);
+        EXPECT_EQ(graph.findInconsistency(), "");
+    }
+    graph.takeChanges();
+    graph.setOutcome("clip", JobOutcome::done);
+    graph.setOutcome("split-1", JobOutcome::done);
+    graph.setOutcome("split-2", JobOutcome::done);
+    EXPECT_EQ(graph.takeChanges().released, (std::vector<JobId>{"split-1", "split-2", "time"}));
+    graph.removeJob("never added");
+}
+
 TEST_F(DependencyGraphTest, TopologicalOrderPutsDependenciesFirst) {
     const auto ordered = topologicalOrder(
         {{"post", {"time"}}, {"time", {"split-1", "split-2"}}, {"split-1", {"clip"}}});
--- a/src/kv_store/transaction_writer.cpp
+++ b/src/kv_store/transaction_writer.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace basaltchute::kv_store {
 
@@ -16,6 +17,9 @@
 /// How long records wait, so that they are written together with others.
 constexpr Duration backgroundDelay = 250ms, progressDelay = 1500ms;
 constexpr Duration pauseAfterRefusal = 150ms;
+/// Intervals at which a record is tried again that the service refuses for itself. Each doubles the
+/// one before.
+constexpr Duration minRefusedRecordDelay = 1s, maxRefusedRecordDelay = 60s;
 /// How often the queue is checked while it is not empty: the write budget, the delays of records
 /// and the pauses after a refusal all change with time.
 constexpr Duration pollInterval = 50ms;
@@ -39,6 +43,7 @@
                                      WriteObserver& observer, SharedWriteBudget* budget)
     : loop_(loop),
       client_(client),
+      maxRecordsConfigured_(maxRecords),
       maxRecords_(maxRecords),
       fence_(std::move(fence)),
       source_(source),
@@ -60,7 +65,21 @@
         it->second = {std::min(queuedRank.first, rank.first),
                       std::min(queuedRank.second, rank.second)};
     }
-    if (!inFlight_.contains(key)) sendOrder_.emplace(it->second, key);
+    if (isSendable(key)) sendOrder_.emplace(it->second, key);
+}
+
+bool TransactionWriter::isSendable(const std::string& key) const {
+    if (inFlight_.contains(key)) return false;
+    const auto refused = refusedRecords_.find(key);
+    return refused == refusedRecords_.end() || loop_.now() >= refused->second.nextAt;
+}
+
+void TransactionWriter::resumeRefusedRecords(TimePoint now) {
+    for (const auto& [key, retry] : refusedRecords_) {
+        if (now < retry.nextAt || inFlight_.contains(key)) continue;
+        if (const auto queued = queue_.find(key); queued != queue_.end())
+            sendOrder_.emplace(queued->second, key);
+    }
 }
 
 double TransactionWriter::reservedForUserRequests(WritePriority priority) {
@@ -105,6 +124,7 @@
 Task<void> TransactionWriter::run(Scope& scope) {
     while (!scope.cancelled()) {
         const TimePoint now = loop_.now();
+        resumeRefusedRecords(now);
         std::vector<std::string> keys;
         if (transactionsInFlight_ < maxTransactionsInFlight && now >= pausedUntil_)
             keys = nextKeys(now);
@@ -128,6 +148,7 @@
         queue_.erase(queued);
         if (!record) {
             sendAlone_.erase(key);
+            refusedRecords_.erase(key);
             continue;
         }
         inFlight_.insert(key);
@@ -218,7 +239,8 @@
     for (const auto& entry : batch.entries) {
         inFlight_.erase(entry.key);
         // The record changed while it was in flight, and may now be written again.
-        if (const auto queued = queue_.find(entry.key); queued != queue_.end())
+        const auto queued = queue_.find(entry.key);
+        if (queued != queue_.end() && isSendable(entry.key))
             sendOrder_.emplace(queued->second, entry.key);
     }
 }
@@ -231,34 +253,58 @@
     healthy_ = true;
     for (const auto& entry : batch.entries) {
         revisions_[entry.key] = revision;
-        sendAlone_.erase(entry.key);
-        observer_.onCommitted(entry.key, entry.version);
+        largestAcceptedBytes_ = std::max(largestAcceptedBytes_, batch.data.at(entry.key).size());
+        reportCommitted(entry);
     }
 }
 
+void TransactionWriter::reportCommitted(const BatchEntry& entry) {
+    sendAlone_.erase(entry.key);
+    refusedRecords_.erase(entry.key);
+    observer_.onCommitted(entry.key, entry.version);
+}
+
 void TransactionWriter::onConflict(const Batch& batch, const std::set<std::string>& applied) {
     for (const auto& entry : batch.entries)
         if (!applied.contains(entry.key)) enqueue(entry.key, entry.rank);
     for (const auto& entry : batch.entries)
-        if (applied.contains(entry.key)) observer_.onCommitted(entry.key, entry.version);
+        if (applied.contains(entry.key)) reportCommitted(entry);
 }
 
 void TransactionWriter::onMalformed(const Batch& batch) {
-    // The transaction has too many records or too many bytes, or one of its records is too large.
-    // If it were repeated unchanged, it would block all other records forever.
-    if (batch.entries.size() == 1) {
-        const std::string& key = batch.entries.front().key;
-        if (observer_.onTooLarge(key, batch.bytes) == TooLargeAction::retry)
-            onFailed(batch);
-        else
-            sendAlone_.erase(key);
-        return;
-    }
+    // The transaction has too many records or too many bytes, or one of its records is too large or
+    // malformed. If it were repeated unchanged, it would block all other records forever.
+    if (batch.entries.size() == 1) return onRecordRefused(batch);
     maxRecords_ = std::max<std::size_t>(1, std::min(maxRecords_, batch.entries.size() / 2));
     for (const auto& entry : batch.entries) sendAlone_.insert(entry.key);
     requeue(batch);
 }
 
+void TransactionWriter::onRecordRefused(const Batch& batch) {
+    const std::string& key = batch.entries.front().key;
+    // The record explains why the batch was refused that it was in: that batch was not too large.
+    if (!refusedRecords_.contains(key)) maxRecords_ = maxRecordsConfigured_;
+    const bool sizeWasAccepted = batch.bytes <= std::exchange(largestAcceptedBytes_, 0);
+    const auto action = observer_.onRecordRefused({key, batch.bytes, sizeWasAccepted});
+    if (action == RefusedRecordAction::retry) return retryRefusedRecord(batch);
+    sendAlone_.erase(key);
+    refusedRecords_.erase(key);
+}
+
+void TransactionWriter::retryRefusedRecord(const Batch& batch) {
+    const BatchEntry& entry = batch.entries.front();
+    RefusedRecordRetry& retry = refusedRecords_[entry.key];
+    retry.delay = std::clamp(retry.delay * 2, minRefusedRecordDelay, maxRefusedRecordDelay);
+    retry.nextAt = loop_.now() + retry.delay;
+    sendAlone_.insert(entry.key);
+    // The record may have changed while it was in flight. It waits all the same.
+    if (const auto queued = queue_.find(entry.key); queued != queue_.end())
+        sendOrder_.erase({queued->second, entry.key});
+    spdlog::error("state service refuses a record, trying it again: key={} bytes={} delay_s={:.0f}",
+                  entry.key, batch.bytes, toSeconds(retry.delay));
+    requeue(batch);
+}
+
 void TransactionWriter::onRateLimited(const Batch& batch) {
     // The service works, but not at this rate. The most urgent records go first, and no user
     // request is refused.
--- a/src/kv_store/transaction_writer.h
+++ b/src/kv_store/transaction_writer.h
@@ -43,10 +43,20 @@
     virtual std::optional<EncodedRecord> encode(const std::string& key) = 0;
 };
 
-/// What the writer does with a record that is too large for the service.
-enum class TooLargeAction {
+/// A record that the service refuses in a transaction of its own, as too large or as malformed; its
+/// response does not tell which.
+struct RefusedRecord {
+    std::string key;
+    std::size_t bytes = 0;  // of its value
+    /// Whether a value of that size or more was accepted since the last refusal, so that the size
+    /// is hardly the cause.
+    bool sizeWasAccepted = false;
+};
+
+/// What the writer does with a refused record.
+enum class RefusedRecordAction {
     drop,   // removed from the queue; the owner may mark it as dirty again in another form
-    retry,  // written again as it is, as after any other failure
+    retry,  // written again as it is, at growing intervals; all other records go on
 };
 
 /// Is notified of the outcome of writes. All calls are made on the event loop, between two steps of
@@ -60,9 +70,9 @@
     virtual void onWriteFailed() {}
     /// Another process holds the fence: no write of this writer can succeed any more.
     virtual void onFenced() = 0;
-    /// The service does not accept a value of `bytes` bytes under the key.
-    virtual TooLargeAction onTooLarge(const std::string& /*key*/, std::size_t /*bytes*/) {
-        return TooLargeAction::retry;
+    /// The service refuses the record.
+    virtual RefusedRecordAction onRecordRefused(const RefusedRecord& /*record*/) {
+        return RefusedRecordAction::retry;
     }
 };
 
@@ -93,8 +103,8 @@
     void markDirty(const std::string& key, WritePriority priority);
     /// Writes queued records until the scope is cancelled.
     Task<void> run(Scope& scope);
-    /// False from when the state service refuses a write (other than for its rate), or its response
-    /// is lost, until a write succeeds.
+    /// False from when the state service refuses writes (other than for their rate, or for what a
+    /// single record holds), or a response is lost, until a write succeeds.
     [[nodiscard]] bool healthy() const { return healthy_; }
     /// Number of queued records, not counting those in flight.
     [[nodiscard]] std::size_t backlog() const { return queue_.size(); }
@@ -114,7 +124,16 @@
         std::map<std::string, std::string> data;  // by key, as sent
         std::size_t bytes = 0;
     };
+    /// The retries of a record that the service refuses for itself.
+    struct RefusedRecordRetry {
+        Duration delay{};    // between the last two attempts
+        TimePoint nextAt{};  // the record is not sent before
+    };
     void enqueue(const std::string& key, QueueRank rank);
+    /// Whether a queued record may be sent now, as far as it alone is concerned.
+    [[nodiscard]] bool isSendable(const std::string& key) const;
+    /// Makes refused records whose next attempt is due sendable.
+    void resumeRefusedRecords(TimePoint now);
     /// The keys to write now, most urgent first; empty if nothing may be written now.
     std::vector<std::string> nextKeys(TimePoint now);
     /// How many writes may be spent now on records of that priority or a less urgent one; can be
@@ -135,14 +154,20 @@
     void removeFromFlight(const Batch& batch);
     void onOk(const Batch& batch, Revision revision);
     void onConflict(const Batch& batch, const std::set<std::string>& applied);
+    void reportCommitted(const BatchEntry& entry);
     void onMalformed(const Batch& batch);
+    void onRecordRefused(const Batch& batch);
+    /// Queues a refused record for its next attempt.
+    void retryRefusedRecord(const Batch& batch);
     void onRateLimited(const Batch& batch);
     void onFailed(const Batch& batch);
     void requeue(const Batch& batch);
 
     EventLoop& loop_;
     Client& client_;
-    std::size_t maxRecords_;
+    const std::size_t maxRecordsConfigured_;
+    std::size_t
+        maxRecords_;  // lower than configured while the service refuses batches of that size
     Precondition fence_;
     RecordSource& source_;
     WriteObserver& observer_;
@@ -150,9 +175,11 @@
     Event workAvailable_;
     std::unordered_map<std::string, Revision> revisions_;
     std::unordered_map<std::string, QueueRank> queue_;
-    std::set<std::pair<QueueRank, std::string>> sendOrder_;  // queued, not in flight
+    std::set<std::pair<QueueRank, std::string>> sendOrder_;  // queued and sendable
     std::set<std::string> inFlight_;
     std::set<std::string> sendAlone_;  // were in a refused batch, so each gets its own transaction
+    std::map<std::string, RefusedRecordRetry> refusedRecords_;  // until they are committed
+    std::size_t largestAcceptedBytes_ = 0;  // of a value, since the last refusal of a record
     std::size_t transactionsInFlight_ = 0;
     TimePoint pausedUntil_{};
     bool healthy_ = true;
--- a/src/kv_store/transaction_writer_test.cpp
+++ b/src/kv_store/transaction_writer_test.cpp
@@ -23,6 +23,8 @@
     std::map<std::string, std::uint64_t> versions, durable;
     std::map<std::string, int> encodeCalls;
     std::set<std::string> tooLarge;
+    std::map<std::string, RefusedRecord> refused;  // the last refusal of each key
+    std::set<std::string> malformed;               // keys whose values are no JSON
     int failedWrites = 0;
 
     void begin(simulator::StateService::Limits terms) {
@@ -47,6 +49,7 @@
     std::optional<EncodedRecord> encode(const std::string& key) override {
         ++encodeCalls[key];
         if (sizes[key] == 0) return std::nullopt;
+        if (malformed.contains(key)) return EncodedRecord{"\"\xED\xB0\x80\"", versions[key]};
         return EncodedRecord{'"' + std::string(sizes[key] - 2, 'x') + '"', versions[key]};
     }
     void onCommitted(const std::string& key, std::uint64_t version) override {
@@ -54,10 +57,12 @@
     }
     void onWriteFailed() override { ++failedWrites; }
     void onFenced() override { FAIL() << "nobody else holds the fence"; }
-    TooLargeAction onTooLarge(const std::string& key, std::size_t bytes) override {
-        EXPECT_GE(bytes, 100U);
-        tooLarge.insert(key);
-        return TooLargeAction::drop;
+    RefusedRecordAction onRecordRefused(const RefusedRecord& record) override {
+        refused[record.key] = record;
+        if (malformed.contains(record.key)) return RefusedRecordAction::retry;
+        EXPECT_GE(record.bytes, 100U);
+        tooLarge.insert(record.key);
+        return RefusedRecordAction::drop;
     }
 };
 
@@ -77,6 +82,62 @@
     EXPECT_EQ(durable["k3"], 2U);
 }
 
+TEST_F(TransactionWriterTest, RecordThatIsRefusedForGoodIsRetriedAtIntervalsAndDelaysNoOthers) {
+    // Guards against a malformed record that is written again without a pause: all other records
+    // waited behind it, and users were told that the service accepts no writes.
+    begin({1e9, 1e9, 1000, 20, {}});
+    int transactions = 0, withMalformed = 0;
+    service->fault = [&](const http::Request& r) -> simulator::StateService::Fault {
+        if (r.target == "/multi") ++transactions;
+        if (r.body.find("\"k3\"") != std::string::npos) ++withMalformed;
+        return {};
+    };
+    malformed.insert("k3");
+    for (int i = 0; i < 8; ++i) write("k" + std::to_string(i), 50, WritePriority::userRequest);
+    world.run(500ms);
+    EXPECT_EQ(durable.size(), 7U);
+    EXPECT_TRUE(writer->healthy()) << "a refused record is no outage";
+    for (int second = 0; second < 60; ++second) {
+        const int before = transactions - withMalformed;
+        for (int i = 10; i < 20; ++i) write("k" + std::to_string(i), 50);
+        if (second % 2 == 0) write("k3", 50);  // changes do not hurry it
+        world.run(100ms);
+        EXPECT_EQ(durable["k10"], static_cast<std::uint64_t>(second) + 1);
+        EXPECT_EQ(transactions - withMalformed, before + 1) << "others are still written together";
+        world.run(900ms);
+    }
+    EXPECT_GE(withMalformed, 5);
+    EXPECT_LE(withMalformed, 8) << "in the first batch, alone, and after 1, 2, 4, 8, 16 and 32 s";
+    EXPECT_EQ(failedWrites, 0);
+    malformed.clear();
+    world.run(61s);
+    EXPECT_EQ(durable["k3"], versions["k3"]) << "what the service takes at last is stored";
+    EXPECT_EQ(writer->backlog(), 0U);
+}
+
+TEST_F(TransactionWriterTest, RefusalTellsWhetherAValueOfThatSizeWasAccepted) {
+    begin({1e9, 1e9, 1000, 20, {}});
+    const auto refusedWithSizeAccepted = [&](std::size_t bytes) {
+        write("large", bytes);
+        world.run(100ms);
+        return refused.at("large").sizeWasAccepted;
+    };
+    write("small", 50);
+    world.run(100ms);
+    EXPECT_FALSE(refusedWithSizeAccepted(1100)) << "only smaller ones were";
+    service->lowerLimits({0, 0, 200, 0, {}});
+    sizes["small"] = 150;
+    write("small", 150);
+    world.run(100ms);
+    EXPECT_FALSE(refusedWithSizeAccepted(900));
+    service->lowerLimits({0, 0, 1000, 0, {}});
+    write("small", 900);
+    world.run(100ms);
+    service->lowerLimits({0, 0, 200, 0, {}});
+    EXPECT_TRUE(refusedWithSizeAccepted(800));
+    EXPECT_FALSE(refusedWithSizeAccepted(800)) << "not since the last refusal";
+}
+
 TEST_F(TransactionWriterTest, TransactionsShrinkWhenTheServiceAcceptsFewerWritesAtOnce) {
     begin({1e9, 1e9, 1000, 20, {}});
     for (int i = 0; i < 40; ++i) write("k" + std::to_string(i), 50);
--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -15,8 +15,8 @@
 //
 // The implementation is split by topic: job_lifecycle (submit, cancel, finish), allocations (bind,
 // stop, release, timers), reconciliation (status reports), commands (what a machine is told to
-// do), dependency_tracking, placement, preemption, reservations, free_capacity and persistence
-// (records).
+// do), dependency_tracking, placement, preemption, reservations, free_capacity, persistence
+// (records) and refused_records.
 #include <functional>
 #include <limits>
 #include <map>
@@ -94,9 +94,10 @@
     [[nodiscard]] std::optional<kv_store::EncodedRecord> encode(const std::string& key);
     /// Records that the given version of the record is durable.
     void onRecordCommitted(const std::string& key, std::uint64_t version);
-    /// Handles the state service's rejection of a value of `bytes` bytes: lowers the size limit and
-    /// writes the record in smaller parts.
-    void onRecordTooLarge(const std::string& key, std::size_t bytes);
+    /// Handles the state service's refusal of a record. If it may be too large, divides it into
+    /// smaller ones. Otherwise it is retried, or the submission is dropped that it belongs to; then
+    /// the job is unknown again, and its submitter must be told that it was not accepted.
+    kv_store::RefusedRecordAction onRecordRefused(const kv_store::RefusedRecord& record);
     /// Allows records that versions without dependencies and record pages cannot read. Cannot be
     /// undone.
     void enableRecordPages();
@@ -284,8 +285,23 @@
     void applyRecord(const jobs::RecordName& name, const json::Document& doc);
     void restoreCounts();
     void restoreAllocations(Job& job);
-    /// Stores the job's description in text records. They are written before the first block.
-    void splitDescription(Job& job);
+    /// Stores the job's description in text records, which get that priority. They are written
+    /// before the first block.
+    void splitDescription(Job& job, kv_store::WritePriority priority);
+
+    // Records that the state service refuses
+    /// The size limit of a value for the records of the job.
+    [[nodiscard]] std::size_t maxValueBytesOf(const Job& job) const;
+    /// Whether the contents of the record can be stored in smaller ones.
+    [[nodiscard]] bool isDivisible(const Job& job, const jobs::RecordName& name) const;
+    /// Stores the contents of a record that is too large in smaller ones.
+    void divideRecord(Job& job, const kv_store::RefusedRecord& record);
+    /// Once all records of a job with a reduced limit are stored, applies that limit to all jobs.
+    void confirmReducedValueBytes(const Job& job);
+    /// Whether a task of a job that is not accepted may have been launched all the same.
+    [[nodiscard]] bool isPossiblyLaunched(const Job& job);
+    /// Removes a job that is not accepted and was not launched. Invalidates pointers to it.
+    void dropSubmission(Job& job);
     Job& addJob(std::unique_ptr<Job> job);
 
     // Dependencies
@@ -547,7 +563,10 @@
     /// Records that were loaded before the records they depend on, by key. Applied at the end.
     std::map<std::string, std::string> deferredRecords_;
     std::set<JobId> unreadableJobs_;
-    std::size_t maxValueBytes_;            // limit for new records
+    std::size_t maxValueBytes_;  // limit for new records
+    /// Lower limits, of jobs whose records the state service refused. Only once all records of such
+    /// a job are stored is it certain that they were too large, and the limit is that of all jobs.
+    std::map<JobId, std::size_t> reducedValueBytes_;
     bool recordPagesEnabled_ = false;      // every controller can read record pages
     std::set<std::string> oversizedKeys_;  // records that wait for record pages
     WallMillis loadWallTime_{};            // wall-clock time when records were loaded
--- a/src/scheduler/persistence.cpp
+++ b/src/scheduler/persistence.cpp
@@ -16,10 +16,6 @@
 using worker_api::Allocation;
 using Kind = jobs::RecordName::Kind;
 
-namespace {
-constexpr std::size_t minValueBytes = 256;  // every key-value store accepts at least this
-}  // namespace
-
 // ---------------------------------------------------------------- reading
 
 Job& Cluster::addJob(std::unique_ptr<Job> job) {
@@ -192,8 +188,9 @@
 
 std::optional<EncodedRecord> Cluster::encode(const std::string& key) {
     const auto name = RecordName::parse(key);
-    if (!name) return std::nullopt;
-    Job& job = *jobs_.at(name->job);
+    Job* const found = name ? find(name->job) : nullptr;
+    if (found == nullptr) return std::nullopt;  // its submission was dropped
+    Job& job = *found;
     const jobs::RecordLayout& l = job.layout;
     if (name->kind == Kind::specSection) {
         if (job.accepted() || name->from >= l.specSections) return std::nullopt;
@@ -213,7 +210,8 @@
     if (range == nullptr) return std::nullopt;  // split into pages by now
     std::string data = encodeRecord(job, name);
     const std::string key = name.key();
-    if (data.size() <= maxValueBytes_) return EncodedRecord{std::move(data), range->version};
+    const std::size_t maxBytes = maxValueBytesOf(job);
+    if (data.size() <= maxBytes) return EncodedRecord{std::move(data), range->version};
     if (!recordPagesEnabled_) {
         // Keeps the format that every version reads for as long as the state service accepts the
         // value.
@@ -225,13 +223,13 @@
     if (isFirstBlock && !job.accepted()) {
         l.moveTasksOutOfFirstBlock();
         data = encodeRecord(job, name);
-        if (data.size() <= maxValueBytes_) return EncodedRecord{std::move(data), l.head().version};
-        splitDescription(job);
+        if (data.size() <= maxBytes) return EncodedRecord{std::move(data), l.head().version};
+        splitDescription(job, WritePriority::userRequest);
         return std::nullopt;
     }
     const TaskRange whole = *range;
     if (!l.split(whole)) {
-        spdlog::error("record is too large: key={} limit_bytes={}", key, maxValueBytes_);
+        spdlog::error("record is too large: key={} limit_bytes={}", key, maxBytes);
         return std::nullopt;
     }
     for (const std::uint32_t task : {whole.from, whole.from + whole.count / 2})
@@ -248,29 +246,15 @@
     return std::nullopt;
 }
 
-void Cluster::splitDescription(Job& job) {
+void Cluster::splitDescription(Job& job, WritePriority priority) {
     jobs::RecordLayout& l = job.layout;
-    l.sectionValueBytes = maxValueBytes_;
+    l.sectionValueBytes = maxValueBytesOf(job);
     l.specSections =
-        static_cast<std::uint32_t>(jobs::encodeSpecSections(job, maxValueBytes_).size());
+        static_cast<std::uint32_t>(jobs::encodeSpecSections(job, l.sectionValueBytes).size());
     l.durableSpecSections = 0;
     for (std::uint32_t i = 0; i < l.specSections; ++i)
         effects_.dirtyRecords.emplace_back(RecordName{job.spec.id, Kind::specSection, i, 0}.key(),
-                                           WritePriority::userRequest);
-}
-
-void Cluster::onRecordTooLarge(const std::string& key, std::size_t bytes) {
-    // The state service's limit has fallen below the known one. Tries half the size, and half of
-    // that if the record is rejected again.
-    maxValueBytes_ = std::max<std::size_t>(std::min(maxValueBytes_, bytes / 2), minValueBytes);
-    const auto name = RecordName::parse(key);
-    if (!name) return;
-    Job& job = *jobs_.at(name->job);
-    if (!job.accepted() && job.layout.specSections > 0) return splitDescription(job);
-    if (recordPagesEnabled_)
-        effects_.dirtyRecords.emplace_back(key, WritePriority::immediate);
-    else
-        oversizedKeys_.insert(key);
+                                           priority);
 }
 
 void Cluster::enableRecordPages() {
@@ -281,8 +265,9 @@
 
 void Cluster::onRecordCommitted(const std::string& key, std::uint64_t version) {
     const auto name = RecordName::parse(key);
-    if (!name) return;
-    Job& job = *jobs_.at(name->job);
+    Job* const found = name ? find(name->job) : nullptr;
+    if (found == nullptr) return;  // its submission was dropped
+    Job& job = *found;
     jobs::RecordLayout& l = job.layout;
     const bool wasAccepted = job.accepted();
     auto [from, to] = l.markDurable(*name, version);
@@ -292,6 +277,7 @@
                                                WritePriority::userRequest);
         return;
     }
+    confirmReducedValueBytes(job);
     const bool justAccepted = !wasAccepted && job.accepted();
     if (justAccepted && l.firstBlockHasNoTasks())
         for (const TaskRange& range : l.ranges())
--- /dev/null
+++ b/src/scheduler/refused_records_test.cpp
@@ -0,0 +1,157 @@
+#include <functional>
+
+#include "scheduler/cluster_fixture.h"
+
+namespace basaltchute::scheduler {
+namespace {
+
+using kv_store::RefusedRecordAction;
+
+/// A cluster whose state service refuses some records.
+class RefusedRecordsTest : public ClusterTest {
+  protected:
+    /// Whether the state service refuses a value.
+    std::function<bool(const std::string& value)> refuses = [](const auto&) { return false; };
+    std::size_t largestAccepted = 0;                     // since the last refusal
+    std::map<std::string, RefusedRecordAction> actions;  // after the last refusal of each key
+    int refusals = 0;
+
+    /// Plays the state service until the cluster has nothing to write. Records that are to be
+    /// retried are not sent again.
+    void writeAll() {
+        for (auto e = cluster->takeEffects(); !e.dirtyRecords.empty(); e = cluster->takeEffects())
+            for (const auto& [key, priority] : e.dirtyRecords) writeRecord(key);
+    }
+    void writeRecord(const std::string& key) {
+        const auto encoded = cluster->encode(key);
+        if (!encoded) return;
+        const std::size_t bytes = encoded->data.size();
+        if (refuses(encoded->data)) {
+            ASSERT_LT(++refusals, 100) << "refused again and again: " << key;
+            const bool sizeWasAccepted = bytes <= std::exchange(largestAccepted, 0);
+            actions[key] = cluster->onRecordRefused({key, bytes, sizeWasAccepted});
+            return;
+        }
+        largestAccepted = std::max(largestAccepted, bytes);
+        records[key] = encoded->data;
+        cluster->onRecordCommitted(key, encoded->version);
+    }
+    void refuseText(const std::string& text) {
+        refuses = [text](const std::string& value) {
+            return value.find(text) != std::string::npos;
+        };
+    }
+    SubmitResult trySubmit(const JobSpec& spec) {
+        const SubmitResult result = cluster->submit(spec, clock.now(), clock.wall());
+        place();
+        writeAll();
+        return result;
+    }
+    static JobSpec spec(const JobId& id, std::uint32_t tasks, const std::string& image = "img") {
+        JobSpec s = testing::spec(id, tasks);
+        s.demand = {1, 0, 1};
+        s.image = image;
+        return s;
+    }
+    /// A job whose first block is larger than 300 bytes and smaller than 1,000.
+    [[nodiscard]] std::size_t blockBytes(const JobId& id) const {
+        return records.at("jobs/" + id).size();
+    }
+};
+
+TEST_F(RefusedRecordsTest, RefusedSubmissionIsDroppedAndHoldsNoCapacity) {
+    // Guards against a job that can never be stored: it kept machines, was demand for more of them,
+    // and its parts were written for ever.
+    Worker w("n-1");
+    exchangeHeartbeat(w);
+    cluster->enableRecordPages();
+    refuseText("odd");
+    ASSERT_EQ(trySubmit(spec("run-1", 8, "odd")), SubmitResult::accepted);
+    EXPECT_EQ(cluster->find("run-1"), nullptr) << "its submitter is told that it is not accepted";
+    EXPECT_LT(refusals, 10);
+    EXPECT_TRUE(cluster->machines()[0].allocations.empty());
+    EXPECT_TRUE(cluster->openJobs().empty());
+    EXPECT_EQ(cluster->findInconsistency(), "");
+    trySubmit(spec("run-2", 8));
+    EXPECT_EQ(cluster->find("run-2")->boundCount, 8U) << "the whole machine is free";
+    EXPECT_TRUE(cluster->find("run-2")->accepted());
+    // The same id can be submitted again, once the state service takes it.
+    refuseText("nothing");
+    EXPECT_EQ(trySubmit(spec("run-1", 1, "odd")), SubmitResult::accepted);
+    EXPECT_TRUE(cluster->find("run-1")->accepted());
+    takeOver();
+    EXPECT_EQ(cluster->find("run-1")->spec.image, "odd");
+    EXPECT_EQ(cluster->findInconsistency(), "");
+}
+
+TEST_F(RefusedRecordsTest, DroppedSubmissionLeavesItsDependenciesAsTheyWere) {
+    cluster->enableRecordPages();
+    submit(spec("run-1", 1));
+    JobSpec dependent = spec("run-2", 1, "odd");
+    dependent.dependencies = {"run-1"};
+    dependent.priority = Priority::production;
+    refuseText("odd");
+    for (int round = 0; round < 2; ++round) {
+        ASSERT_EQ(trySubmit(dependent), SubmitResult::accepted);
+        EXPECT_EQ(cluster->find("run-2"), nullptr);
+        EXPECT_EQ(cluster->find("run-1")->effectivePriority, Priority::normal);
+        EXPECT_TRUE(cluster->blockedJobs().empty());
+    }
+    EXPECT_EQ(cluster->findInconsistency(), "");
+    EXPECT_EQ(cluster->dependencyGraph().findInconsistency(), "");
+}
+
+TEST_F(RefusedRecordsTest, RecordThatIsNoLargerThanAcceptedOnesIsNotDivided) {
+    // Guards against one refused record raising the stored format for good: the records of all jobs
+    // were divided then, down to the smallest size.
+    submit(spec("run-1", 1, std::string(150, 'x')));
+    refuseText("odd");
+    largestAccepted = blockBytes("run-1");
+    trySubmit(spec("run-2", 1, "odd"));
+    EXPECT_EQ(cluster->find("run-2"), nullptr);
+    EXPECT_EQ(refusals, 1);
+    EXPECT_FALSE(cluster->needsRecordPages());
+}
+
+TEST_F(RefusedRecordsTest, RefusedRecordOfAnAcceptedJobIsRetriedAndOtherJobsAreNotDivided) {
+    cluster->enableRecordPages();
+    Worker w("n-1");
+    exchangeHeartbeat(w);
+    submit(spec("run-1", 1, "odd"));
+    refuseText("odd");
+    place();
+    writeAll();
+    EXPECT_EQ(actions.at("jobs/run-1"), RefusedRecordAction::retry)
+        << "a block of one task cannot be divided";
+    trySubmit(spec("run-2", 1, std::string(150, 'x')));
+    EXPECT_TRUE(records.contains("jobs/run-2"));
+    EXPECT_GT(blockBytes("run-2"), 300U) << "in one record, as if nothing had been refused";
+    EXPECT_TRUE(cluster->find("run-2")->accepted());
+    refuseText("nothing");
+    writeRecord("jobs/run-1");
+    EXPECT_TRUE(cluster->find("run-1")->layout.durable());
+}
+
+TEST_F(RefusedRecordsTest, LowerLimitHoldsForAllJobsOnceADividedOneIsStored) {
+    cluster->enableRecordPages();
+    constexpr std::size_t limit = 600;
+    refuses = [](const std::string& value) { return value.size() > limit; };
+    trySubmit(spec("run-1", 4, std::string(190, 'x')));
+    const int first = refusals;
+    EXPECT_EQ(first, 0) << "it fits";
+    JobSpec large = spec("run-2", 60, std::string(190, 'x'));
+    large.machineTypes = {"box", std::string(150, 'y'), std::string(150, 'z')};
+    trySubmit(large);
+    EXPECT_TRUE(cluster->find("run-2")->accepted());
+    const int second = refusals;
+    EXPECT_GT(second, 0);
+    large.id = "run-3";
+    trySubmit(large);
+    EXPECT_TRUE(cluster->find("run-3")->accepted());
+    EXPECT_EQ(refusals, second) << "the limit is known by now";
+    takeOver();
+    EXPECT_EQ(cluster->find("run-3")->spec.machineTypes, large.machineTypes);
+}
+
+}  // namespace
+}  // namespace basaltchute::scheduler
--- a/src/scheduler/upgrade_test.cpp
+++ b/src/scheduler/upgrade_test.cpp
@@ -428,7 +428,8 @@
             if (encoded->data.size() > limit) {
                 EXPECT_TRUE(refused.insert({key, encoded->data}).second)
                     << "a refused value was encoded again unchanged: " << key;
-                cluster->onRecordTooLarge(key, encoded->data.size());
+                EXPECT_EQ(cluster->onRecordRefused({key, encoded->data.size(), false}),
+                          kv_store::RefusedRecordAction::drop);
                 continue;
             }
             records[key] = encoded->data;
--- a/src/simulator/state_service.cpp
+++ b/src/simulator/state_service.cpp
@@ -160,6 +160,7 @@
     const Fault f = fault ? fault(r) : Fault{};
     if (limits_.latency > Duration::zero()) co_await loop_.sleep(limits_.latency, scope_);
     if (f.kind == Fault::Kind::refused) co_return http::Response{503, R"({"error":"trouble"})"};
+    if (f.kind == Fault::Kind::malformed) co_return http::Response{400, R"({"error":"malformed"})"};
     if (f.kind == Fault::Kind::executedLate) co_await loop_.sleep(f.delay, scope_);
     auto response = co_await serve(std::move(r), refuses);
     if (f.kind == Fault::Kind::respondedLate) {
--- a/src/simulator/state_service.h
+++ b/src/simulator/state_service.h
@@ -39,12 +39,14 @@
     std::map<std::string, Entry> keys;
     bool down = false;
     int writes = 0, watches = 0;
-    /// The fault of one request: refused with 503, executed but never answered in time, executed
-    /// after `delay` and not answered in time, or answered after `delay`.
+    /// The fault of one request: refused with 503, refused as malformed with 400, executed but
+    /// never answered in time, executed after `delay` and not answered in time, or answered after
+    /// `delay`.
     struct Fault {
         enum class Kind {
             none,
             refused,
+            malformed,
             responseLost,
             executedLate,
             respondedLate
