Count each section of a description once

A job whose description is too large for one record is accepted once all sections are stored.

Cause: RecordLayout counted the commits of sections, not the sections. A section that was stored twice, or one of a former division that was stored after the description had been divided anew, counted for one that was not stored. The job was accepted then, its user told so, and no later leader could read it: 503 for good.

Change: the layout keeps the set of stored sections, and their version is that of the division, so that a late commit of a former one does not count.

Test: RefusedRecordsTest.JobIsNotAcceptedBeforeEverySectionOfItsDescriptionIsStored failed before (the first block was encoded with the last section missing), passes now.

--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -399,8 +399,7 @@
     if (!std::holds_alternative<JobSpec>(parsed)) return nullptr;
     auto job = makeJob(std::get<JobSpec>(std::move(parsed)), valueBytes);
     job->layout = RecordLayout(job->spec.tasks, static_cast<std::uint32_t>(*tasksPerBlock));
-    job->layout.specSections = job->layout.durableSpecSections =
-        specSectionCount(block).value_or(0);
+    job->layout.specSections = specSectionCount(block).value_or(0);
     job->submittedWallTime = WallMillis(static_cast<std::int64_t>(*submittedAt));
     if (json::boolean(block, "bare").value_or(false)) job->layout.moveTasksOutOfFirstBlock();
     readState(block, *job);
--- a/src/jobs/record_layout.cpp
+++ b/src/jobs/record_layout.cpp
@@ -135,7 +135,7 @@
 std::pair<std::uint32_t, std::uint32_t> RecordLayout::markDurable(const RecordName& name,
                                                                   std::uint64_t version) {
     if (name.kind == RecordName::Kind::specSection) {
-        ++durableSpecSections;
+        if (version == division_) durableSections_.insert(name.from);
         return {0, 0};
     }
     if (holdsHeadOnly(name)) {
@@ -176,6 +176,14 @@
     return true;
 }
 
+void RecordLayout::divideDescription(std::uint32_t sections, std::size_t valueBytes,
+                                     std::uint64_t division) {
+    specSections = sections;
+    sectionValueBytes = valueBytes;
+    division_ = division;
+    durableSections_.clear();
+}
+
 void RecordLayout::moveTasksOutOfFirstBlock() {
     if (firstBlockHasNoTasks_) return;
     firstBlockHasNoTasks_ = paged_ = split_ = true;
--- a/src/jobs/record_layout.h
+++ b/src/jobs/record_layout.h
@@ -16,6 +16,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -98,9 +99,17 @@
     /// Its tasks are in pages from the start, and the block can be written again.
     [[nodiscard]] bool firstBlockHasNoTasks() const { return firstBlockHasNoTasks_; }
     void moveTasksOutOfFirstBlock();
-    /// The number of section records that hold the description (0: the first block holds it), and
-    /// how many of them are durable.
-    std::uint32_t specSections = 0, durableSpecSections = 0;
+    /// Divides the description anew into `sections` records, none of which is stored. `division`
+    /// tells their versions from those of all former divisions.
+    void divideDescription(std::uint32_t sections, std::size_t valueBytes, std::uint64_t division);
+    /// Whether all sections of the present division are stored. True if there are none.
+    [[nodiscard]] bool descriptionDurable() const {
+        return accepted() || durableSections_.size() == specSections;
+    }
+    /// The version of every section record.
+    [[nodiscard]] std::uint64_t sectionVersion() const { return division_; }
+    /// The number of section records that hold the description. 0: the first block holds it.
+    std::uint32_t specSections = 0;
     /// The size limit of a value for which the description was divided into sections.
     std::size_t sectionValueBytes = 0;
 
@@ -119,6 +128,8 @@
     /// leader can have written it.
     bool splitDownTo(const RecordName& page);
 
+    std::set<std::uint32_t> durableSections_;  // of the present division
+    std::uint64_t division_ = 0;
     std::uint32_t tasksPerBlock_ = 1;
     bool paged_ = false;  // some block is split
     bool split_ = false;  // the first block is split
--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -567,6 +567,7 @@
     /// Lower limits, of jobs whose records the state service refused. Only once all records of such
     /// a job are stored is it certain that they were too large, and the limit is that of all jobs.
     std::map<JobId, std::size_t> reducedValueBytes_;
+    std::uint64_t lastDivision_ = 0;       // of a description into sections, of all jobs
     bool recordPagesEnabled_ = false;      // every controller can read record pages
     std::set<std::string> oversizedKeys_;  // records that wait for record pages
     WallMillis loadWallTime_{};            // wall-clock time when records were loaded
--- a/src/scheduler/persistence.cpp
+++ b/src/scheduler/persistence.cpp
@@ -194,11 +194,11 @@
     const jobs::RecordLayout& l = job.layout;
     if (name->kind == Kind::specSection) {
         if (job.accepted() || name->from >= l.specSections) return std::nullopt;
-        return EncodedRecord{encodeRecord(job, *name), 1};
+        return EncodedRecord{encodeRecord(job, *name), l.sectionVersion()};
     }
     const bool head = *name == l.headName(job.spec.id);
     if (name->kind == Kind::head || (head && l.firstBlockHasNoTasks())) {
-        if (!head || l.durableSpecSections < l.specSections) return std::nullopt;
+        if (!head || !l.descriptionDurable()) return std::nullopt;
         return EncodedRecord{encodeRecord(job, *name), l.head().version};
     }
     return encodeTasks(job, *name);
@@ -248,10 +248,9 @@
 
 void Cluster::splitDescription(Job& job, WritePriority priority) {
     jobs::RecordLayout& l = job.layout;
-    l.sectionValueBytes = maxValueBytesOf(job);
-    l.specSections =
-        static_cast<std::uint32_t>(jobs::encodeSpecSections(job, l.sectionValueBytes).size());
-    l.durableSpecSections = 0;
+    const std::size_t maxBytes = maxValueBytesOf(job);
+    const std::size_t sections = jobs::encodeSpecSections(job, maxBytes).size();
+    l.divideDescription(static_cast<std::uint32_t>(sections), maxBytes, ++lastDivision_);
     for (std::uint32_t i = 0; i < l.specSections; ++i)
         effects_.dirtyRecords.emplace_back(RecordName{job.spec.id, Kind::specSection, i, 0}.key(),
                                            priority);
@@ -272,7 +271,7 @@
     const bool wasAccepted = job.accepted();
     auto [from, to] = l.markDurable(*name, version);
     if (name->kind == Kind::specSection) {
-        if (!wasAccepted && l.durableSpecSections == l.specSections)
+        if (!wasAccepted && l.descriptionDurable())
             effects_.dirtyRecords.emplace_back(l.headName(job.spec.id).key(),
                                                WritePriority::userRequest);
         return;
--- a/src/scheduler/refused_records_test.cpp
+++ b/src/scheduler/refused_records_test.cpp
@@ -153,5 +153,34 @@
     EXPECT_EQ(cluster->find("run-3")->spec.machineTypes, large.machineTypes);
 }
 
+TEST_F(RefusedRecordsTest, JobIsNotAcceptedBeforeEverySectionOfItsDescriptionIsStored) {
+    // Guards against sections that are counted twice: the job was accepted without one of them, and
+    // no later leader could read it.
+    cluster->enableRecordPages();
+    JobSpec large = spec("run-1", 1);
+    large.machineTypes = {"box", std::string(150, 'x'), std::string(150, 'y'), "last"};
+    cluster->submit(large, clock.now(), clock.wall());
+    const Job& job = *cluster->find("run-1");
+    refuses = [](const std::string& value) { return value.size() > 600; };
+    writeRecord("jobs/run-1");
+    writeRecord("jobs/run-1");
+    ASSERT_GT(job.layout.specSections, 1U);
+    refuses = [](const std::string& value) { return value.size() > 300; };
+    // A section of the first division is stored only after the description was divided anew.
+    const auto late = cluster->encode("parts/run-1/s0");
+    ASSERT_TRUE(late);
+    cluster->onRecordRefused({"parts/run-1/s1", 400, false});
+    cluster->onRecordCommitted("parts/run-1/s0", late->version);
+    for (std::uint32_t i = 0; i + 1 < job.layout.specSections; ++i) {
+        writeRecord("parts/run-1/s" + std::to_string(i));
+        writeRecord("parts/run-1/s" + std::to_string(i));  // it was marked as dirty once more
+    }
+    EXPECT_FALSE(cluster->encode("jobs/run-1")) << "the last section is not stored";
+    writeAll();
+    EXPECT_TRUE(job.accepted());
+    takeOver();
+    EXPECT_EQ(cluster->find("run-1")->spec.machineTypes, large.machineTypes);
+}
+
 }  // namespace
 }  // namespace basaltchute::scheduler
