Gateway: reject messages with text that is not UTF-8

Callers saw: nothing in production; found by looking for what else puts a record into the state service that it refuses for good.

Cause: those strings come from AMQP, not through json::parse, and Proton hands on whatever bytes were sent.

Change: such a message is rejected with the field's name. An id that its sender calls binary may have any bytes, as before: it is stored in hexadecimal.

--- a/src/gateway/app/gateway_test.cpp
+++ b/src/gateway/app/gateway_test.cpp
@@ -272,6 +272,38 @@
                            "message-id: this queue takes no message without one"}));
 }
 
+TEST_F(GatewayTest, MessagesWithTextThatIsNotUtf8AreRejectedAndOthersStillRun) {
+    // Guards against a journal page that the state service refuses for good: no message of the
+    // queue was accepted any more.
+    const std::string odd = "\xED\xB0\x80";
+    s.addQueue("south/keyed", [](QueueSettings& q) { q.keyProperty = "order"; });
+    s.start("gw-1");
+    auto correlated = GatewayFixture::message("m", "1");
+    correlated.correlation = {amqp::Id::Kind::text, odd};
+    for (const auto& m :
+         {correlated, GatewayFixture::message("m", odd), GatewayFixture::message("m", "2", odd)})
+        s.broker.publish(atBroker, m);
+    auto keyed = GatewayFixture::message("m", "3");
+    keyed.properties["order"] = odd;
+    s.broker.publish("work/south/keyed", keyed);
+    s.broker.publish(atBroker, GatewayFixture::message("good", "5"));
+    auto& other = s.broker.queues["work/south/keyed"];
+    ASSERT_TRUE(s.until(
+        [&] { return queue().dead.size() == 3 && other.dead.size() == 1 && jobsOf("good") == 1; }));
+    EXPECT_EQ(jobsOf("m"), 0U);
+    std::set<std::string> reasons{other.dead.front().second.description};
+    for (const auto& [m, why] : queue().dead) reasons.insert(why.description);
+    EXPECT_EQ(reasons,
+              (std::set<std::string>{
+                  "correlation-id: expected UTF-8 text", "message-id: expected UTF-8 text",
+                  "property order: expected UTF-8 text", "reply-to: expected UTF-8 text"}));
+    // Any bytes are an id if their sender calls them binary.
+    auto binary = GatewayFixture::message("binary", "");
+    binary.id = {amqp::Id::Kind::binary, odd};
+    s.broker.publish(atBroker, binary);
+    EXPECT_TRUE(s.until([&] { return jobsOf("binary") == 1; }));
+}
+
 TEST_F(GatewayTest, MessageWithoutIdRunsAsOftenAsItsQueueAllows) {
     s.settings.queues[checks].withoutId = WithoutId::atMostOnce;
     s.addQueue("south/again", [](QueueSettings& q) {
--- a/src/gateway/queue_owner/prepare.cpp
+++ b/src/gateway/queue_owner/prepare.cpp
@@ -24,6 +24,12 @@
     return out.data();
 }
 
+/// The reason to reject a message with a string that the journal cannot hold. AMQP strings are
+/// UTF-8, but the sender decides which bytes it sends.
+std::string notUnicode(const std::string& field) {
+    return field + ": expected UTF-8 text";
+}
+
 }  // namespace
 
 std::variant<PreparedMessage, std::string> prepareMessage(const QueueSettings& queue,
@@ -35,6 +41,7 @@
     e.digest = XXH3_64bits(m.body.data(), m.body.size());
     e.replyTo = m.replyTo;
     if (e.replyTo.size() > maxReplyToLength) return std::string("reply-to: longer than 256 bytes");
+    if (!json::isUnicode(e.replyTo)) return notUnicode("reply-to");
     // Messages from a client's link are answered over a client's link.
     if (origin.empty() && !e.replyTo.empty() &&
         !e.replyTo.starts_with(replyAddressPrefix(queue.name)))
@@ -43,6 +50,8 @@
     e.correlation = replyId.empty() ? "" : replyId.toText();
     if (e.correlation.size() > maxCorrelationLength)
         return std::string("correlation-id: longer than 256 bytes");
+    if (!json::isUnicode(e.correlation))
+        return notUnicode(m.correlation.empty() ? "message-id" : "correlation-id");
 
     std::string key;
     if (!queue.keyProperty.empty()) {
@@ -51,6 +60,9 @@
     } else if (!m.id.empty()) {
         key = m.id.toText();
     }
+    if (!json::isUnicode(key))
+        return notUnicode(queue.keyProperty.empty() ? "message-id"
+                                                    : "property " + queue.keyProperty);
     out.redelivered = m.deliveryCount > 0;
     out.anonymous = key.empty();
     if (key.empty()) {
