Retry refused records within 8 s, after all other records

With intervals of up to 60 s a record that the state service takes again could wait for as long as its user repeats the request (60 s). The longest interval is 8 s now. And hundreds of refused records of user priority used the write rate ahead of others; a refused record has the lowest priority until it is stored.

--- a/src/kv_store/transaction_writer.cpp
+++ b/src/kv_store/transaction_writer.cpp
@@ -18,8 +18,8 @@
 constexpr Duration backgroundDelay = 250ms, progressDelay = 1500ms;
 constexpr Duration pauseAfterRefusal = 150ms;
 /// Intervals at which a record is tried again that the service refuses for itself. Each doubles the
-/// one before.
-constexpr Duration minRefusedRecordDelay = 1s, maxRefusedRecordDelay = 60s;
+/// one before. The longest is a fraction of the time for which users repeat a request.
+constexpr Duration minRefusedRecordDelay = 1s, maxRefusedRecordDelay = 8s;
 /// How often the queue is checked while it is not empty: the write budget, the delays of records
 /// and the pauses after a refusal all change with time.
 constexpr Duration pollInterval = 50ms;
@@ -57,6 +57,8 @@
 }
 
 void TransactionWriter::enqueue(const std::string& key, QueueRank rank) {
+    // However many records are refused, all others go first.
+    if (refusedRecords_.contains(key)) rank.first = WritePriority::progress;
     const auto [it, inserted] = queue_.try_emplace(key, rank);
     if (!inserted) {
         const QueueRank queuedRank = it->second;
@@ -292,17 +294,19 @@
 }
 
 void TransactionWriter::retryRefusedRecord(const Batch& batch) {
-    const BatchEntry& entry = batch.entries.front();
-    RefusedRecordRetry& retry = refusedRecords_[entry.key];
+    const std::string& key = batch.entries.front().key;
+    RefusedRecordRetry& retry = refusedRecords_[key];
     retry.delay = std::clamp(retry.delay * 2, minRefusedRecordDelay, maxRefusedRecordDelay);
     retry.nextAt = loop_.now() + retry.delay;
-    sendAlone_.insert(entry.key);
+    sendAlone_.insert(key);
     // The record may have changed while it was in flight. It waits all the same.
-    if (const auto queued = queue_.find(entry.key); queued != queue_.end())
-        sendOrder_.erase({queued->second, entry.key});
+    if (const auto queued = queue_.find(key); queued != queue_.end()) {
+        sendOrder_.erase({queued->second, key});
+        queue_.erase(queued);
+    }
+    enqueue(key, {WritePriority::progress, loop_.now()});
     spdlog::error("state service refuses a record, trying it again: key={} bytes={} delay_s={:.0f}",
-                  entry.key, batch.bytes, toSeconds(retry.delay));
-    requeue(batch);
+                  key, batch.bytes, toSeconds(retry.delay));
 }
 
 void TransactionWriter::onRateLimited(const Batch& batch) {
