One job's refused records do not lower the size limit of others

Cause: the limit was lowered for all jobs, since the last commits once the parts of a divided record were stored; but that also happens when the refusals just end. And a record above the limit that cannot be divided, such as the block of a job of one task, was not sent at all: "record is too large" was logged and the change lost until the next leader.

Change: the lower limit is the divided job's own. A record that cannot be divided is sent as it is; the state service decides, and the writer retries. While the stored format does not allow divided records yet, a refused record is retried rather than parked, and a submission dropped if it is refused again.

A limit that really falls without notice costs each larger job a few refused writes now, instead of the first job alone.

Tests: RefusedRecordsTest.RefusalsOfOneJobNeverKeep... and ...RecordThatCannotBeDividedYet... failed before, pass now.

--- a/src/jobs/record_layout.h
+++ b/src/jobs/record_layout.h
@@ -110,6 +110,9 @@
     [[nodiscard]] std::uint64_t sectionVersion() const { return division_; }
     /// The number of section records that hold the description. 0: the first block holds it.
     std::uint32_t specSections = 0;
+    /// The size limit of a value for the records of this job, where the service refused larger
+    /// ones.
+    std::size_t reducedValueBytes = SIZE_MAX;
     /// The size limit of a value for which the description was divided into sections.
     std::size_t sectionValueBytes = 0;
 
--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -294,10 +294,9 @@
     [[nodiscard]] std::size_t maxValueBytesOf(const Job& job) const;
     /// Whether the contents of the record can be stored in smaller ones.
     [[nodiscard]] bool isDivisible(const Job& job, const jobs::RecordName& name) const;
-    /// Stores the contents of a record that is too large in smaller ones.
+    /// Stores the contents of a record that may be too large in smaller ones. Other jobs keep their
+    /// limit: one refusal does not show that size was the cause.
     void divideRecord(Job& job, const kv_store::RefusedRecord& record);
-    /// Once all records of a job with a reduced limit are stored, applies that limit to all jobs.
-    void confirmReducedValueBytes(const Job& job);
     /// Whether a task of a job that is not accepted may have been launched all the same.
     [[nodiscard]] bool isPossiblyLaunched(const Job& job);
     /// Removes a job that is not accepted and was not launched. Invalidates pointers to it.
@@ -563,10 +562,7 @@
     /// Records that were loaded before the records they depend on, by key. Applied at the end.
     std::map<std::string, std::string> deferredRecords_;
     std::set<JobId> unreadableJobs_;
-    std::size_t maxValueBytes_;  // limit for new records
-    /// Lower limits, of jobs whose records the state service refused. Only once all records of such
-    /// a job are stored is it certain that they were too large, and the limit is that of all jobs.
-    std::map<JobId, std::size_t> reducedValueBytes_;
+    std::size_t maxValueBytes_;            // limit for new records
     std::uint64_t lastDivision_ = 0;       // of a description into sections, of all jobs
     bool recordPagesEnabled_ = false;      // every controller can read record pages
     std::set<std::string> oversizedKeys_;  // records that wait for record pages
--- a/src/scheduler/persistence.cpp
+++ b/src/scheduler/persistence.cpp
@@ -228,10 +228,8 @@
         return std::nullopt;
     }
     const TaskRange whole = *range;
-    if (!l.split(whole)) {
-        spdlog::error("record is too large: key={} limit_bytes={}", key, maxBytes);
-        return std::nullopt;
-    }
+    // A record of one task cannot be divided. The service decides whether it takes it.
+    if (!l.split(whole)) return EncodedRecord{std::move(data), whole.version};
     for (const std::uint32_t task : {whole.from, whole.from + whole.count / 2})
         effects_.dirtyRecords.emplace_back(l.nameOf(job.spec.id, l.rangeOf(task)).key(),
                                            WritePriority::immediate);
@@ -276,7 +274,6 @@
                                                WritePriority::userRequest);
         return;
     }
-    confirmReducedValueBytes(job);
     const bool justAccepted = !wasAccepted && job.accepted();
     if (justAccepted && l.firstBlockHasNoTasks())
         for (const TaskRange& range : l.ranges())
--- a/src/scheduler/refused_records.cpp
+++ b/src/scheduler/refused_records.cpp
@@ -20,9 +20,7 @@
 }  // namespace
 
 std::size_t Cluster::maxValueBytesOf(const Job& job) const {
-    const auto reduced = reducedValueBytes_.find(job.spec.id);
-    if (reduced == reducedValueBytes_.end()) return maxValueBytes_;
-    return std::min(maxValueBytes_, reduced->second);
+    return std::min(maxValueBytes_, job.layout.reducedValueBytes);
 }
 
 RefusedRecordAction Cluster::onRecordRefused(const RefusedRecord& record) {
@@ -31,8 +29,12 @@
     if (job == nullptr) return RefusedRecordAction::drop;
     const bool maybeTooLarge = record.bytes > minValueBytes && !record.sizeWasAccepted;
     if (maybeTooLarge && isDivisible(*job, *name)) {
-        divideRecord(*job, record);
-        return RefusedRecordAction::drop;
+        if (recordPagesEnabled_) {
+            divideRecord(*job, record);
+            return RefusedRecordAction::drop;
+        }
+        const bool firstRefusal = oversizedKeys_.insert(record.key).second;
+        if (firstRefusal) return RefusedRecordAction::retry;
     }
     if (job->accepted() || isPossiblyLaunched(*job)) return RefusedRecordAction::retry;
     dropSubmission(*job);
@@ -59,23 +61,12 @@
 void Cluster::divideRecord(Job& job, const RefusedRecord& record) {
     spdlog::warn("record is too large for the state service: key={} bytes={}", record.key,
                  record.bytes);
-    std::size_t& limit = reducedValueBytes_.try_emplace(job.spec.id, maxValueBytes_).first->second;
+    std::size_t& limit = job.layout.reducedValueBytes;
     limit = std::max(std::min(limit, record.bytes / 2), minValueBytes);
     if (!job.accepted() && job.layout.specSections > 0)
         // Less urgent than at first, as it may be in vain: the sections must not delay bindings.
         return splitDescription(job, WritePriority::background);
-    if (recordPagesEnabled_)
-        effects_.dirtyRecords.emplace_back(record.key, WritePriority::immediate);
-    else
-        oversizedKeys_.insert(record.key);
-}
-
-void Cluster::confirmReducedValueBytes(const Job& job) {
-    if (reducedValueBytes_.empty() || !job.accepted() || !job.layout.durable()) return;
-    const auto reduced = reducedValueBytes_.find(job.spec.id);
-    if (reduced == reducedValueBytes_.end()) return;
-    maxValueBytes_ = std::min(maxValueBytes_, reduced->second);
-    reducedValueBytes_.erase(reduced);
+    effects_.dirtyRecords.emplace_back(record.key, WritePriority::immediate);
 }
 
 bool Cluster::isPossiblyLaunched(const Job& job) {
@@ -100,7 +91,6 @@
         const auto name = RecordName::parse(key);
         return name && name->job == id;
     });
-    reducedValueBytes_.erase(id);
     dependencies_.removeJob(id);
     jobs_.erase(id);
     applyDependencyChanges(now_);
