Simulator: a state service that refuses the records of some jobs

The fault records_refused lets the state service call each transaction malformed that writes a record of `share` of the jobs. MeetingTest.RecordsThatAreRefusedWhileLeadersEnd... plays it with ends of the leader, lost answers, late writes and cancellations.

--- a/src/simulator/fault_interactions_test.cpp
+++ b/src/simulator/fault_interactions_test.cpp
@@ -406,5 +406,28 @@
     EXPECT_GT(repeated, 100U);
 }
 
+TEST_F(MeetingTest, RecordsThatAreRefusedWhileLeadersEndDelayNoOtherJobAndAreStoredAfterwards) {
+    // A third of all jobs cannot be written for a while: submissions, bindings, results and
+    // cancellations, some of them in transactions that are executed late or whose answer is lost.
+    std::size_t storedLater = 0, acceptedMeanwhile = 0;
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        s.faults = {share("records_refused", 15, 20, 0.3), share("records_refused", 45, 25, 0.3),
+                    fault("node_crash", 20, 0.3),          fault("node_crash", 55, 0.2),
+                    share("answers_lost", 48, 10, 0.3),    share("late_writes", 58, 10, 0.3),
+                    many("cancel_now", 60, 5, 3)};
+        const History& h = play(seed);
+        std::set<std::string> unavailable;
+        for (const auto& f : h.events) {
+            if (f.kind != Kind::answered || f.question != Question::submission) continue;
+            if (f.status == 503) unavailable.insert(f.job);
+            const bool accepted = f.status == 200 || f.status == 201;
+            storedLater += accepted && f.at > 35 && unavailable.contains(f.job) ? 1 : 0;
+            acceptedMeanwhile += accepted && f.at > 15 && f.at < 35 ? 1 : 0;
+        }
+    }
+    EXPECT_GT(storedLater, 10U);
+    EXPECT_GT(acceptedMeanwhile, 20U);
+}
+
 }  // namespace
 }  // namespace basaltchute::simulator
--- a/src/simulator/simulation.cpp
+++ b/src/simulator/simulation.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "jobs/record_layout.h"
 #include "json/json.h"
 
 namespace basaltchute::simulator {
@@ -16,6 +17,21 @@
 constexpr double arrivalStepS = 0.25;
 constexpr std::size_t maxKeptReports = 100;  // for the next leader
 constexpr std::size_t maxHungMachines = 8;   // by one cancel_now fault
+
+/// Whether a transaction writes a record of a job that belongs to that share of all jobs. The share
+/// is drawn by the job's id, so that each record of a job meets the same fate.
+bool writesRefusedRecord(const http::Request& r, double share) {
+    constexpr std::size_t shareSteps = 1000;
+    const auto transaction = r.target == "/multi" ? json::parse(r.body) : std::nullopt;
+    const auto* writes = transaction ? json::array(*transaction, "then") : nullptr;
+    if (writes == nullptr) return false;
+    return std::any_of(writes->Begin(), writes->End(), [&](const json::Value& write) {
+        const auto name = jobs::RecordName::parse(json::string(write, "put").value_or(""));
+        if (!name) return false;
+        const std::size_t step = std::hash<std::string>{}(name->job) % shareSteps;
+        return static_cast<double>(step) < share * static_cast<double>(shareSteps);
+    });
+}
 }  // namespace
 
 Simulation::Simulation(Scenario scenario, std::uint64_t seed)
@@ -463,6 +479,8 @@
 StateService::Fault Simulation::stateFault(const Site& s, const http::Request& r) {
     using Kind = StateService::Fault::Kind;
     if (r.target.starts_with("/watch")) return {};
+    if (s.recordsRefused > 0 && writesRefusedRecord(r, s.refusedShare))
+        return {Kind::malformed, {}};
     if (s.lateWrites > 0 && r.target == "/multi" && time_.chance(s.lateShare))
         return {Kind::executedLate, fromSeconds(time_.between(2, 12))};
     if (s.answersLost > 0 && r.target == "/multi" && time_.chance(s.lostShare))
@@ -600,6 +618,9 @@
     } else if (f.kind == "late_writes") {
         s.lateShare = f.share;
         countWhileActive(s.lateWrites, f.forS);
+    } else if (f.kind == "records_refused") {
+        s.refusedShare = f.share;
+        countWhileActive(s.recordsRefused, f.forS);
     } else if (f.kind == "answers_lost") {
         s.lostShare = f.share;
         countWhileActive(s.answersLost, f.forS);
--- a/src/simulator/simulation.h
+++ b/src/simulator/simulation.h
@@ -63,9 +63,10 @@
         /// Active faults of the state service; a count, since a fault may begin again before it
         /// ends.
         int outages = 0, stateLate = 0, stateSlow = 0, lateWrites = 0, answersLost = 0;
+        int recordsRefused = 0;
         /// Active faults of users, reports and links between controllers.
         int closeLooks = 0, oddRequests = 0, cancelAtEnd = 0, copiesForNext = 0, peersSlow = 0;
-        double lateShare = 0, lostShare = 0, endShare = 0, copyShare = 0;
+        double lateShare = 0, lostShare = 0, endShare = 0, copyShare = 0, refusedShare = 0;
         std::vector<std::string> keptReports;  // to be delivered to the next leader
     };
     void build(Site& site);
