Divide a refused first block without tasks, and later blocks by themselves

A first block that had given its tasks away and was refused again was encoded as it was, without a pause and without an end; a later block of a job that is not accepted set off a new division of the description instead of its own.

Change: what is divided follows from the record that was refused. Each division makes records smaller, so it ends: with acceptance, with a retry at intervals or with the submission dropped.

--- a/src/kv_store/transaction_writer.h
+++ b/src/kv_store/transaction_writer.h
@@ -166,8 +166,8 @@
     EventLoop& loop_;
     Client& client_;
     const std::size_t maxRecordsConfigured_;
-    std::size_t
-        maxRecords_;  // lower than configured while the service refuses batches of that size
+    /// Lower than configured after the service has refused a batch of that size.
+    std::size_t maxRecords_;
     Precondition fence_;
     RecordSource& source_;
     WriteObserver& observer_;
--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -296,7 +296,8 @@
     [[nodiscard]] bool isDivisible(const Job& job, const jobs::RecordName& name) const;
     /// Stores the contents of a record that may be too large in smaller ones. Other jobs keep their
     /// limit: one refusal does not show that size was the cause.
-    void divideRecord(Job& job, const kv_store::RefusedRecord& record);
+    void divideRecord(Job& job, const jobs::RecordName& name,
+                      const kv_store::RefusedRecord& record);
     /// Whether a task of a job that is not accepted may have been launched all the same.
     [[nodiscard]] bool isPossiblyLaunched(const Job& job);
     /// Removes a job that is not accepted and was not launched. Invalidates pointers to it.
--- a/src/scheduler/refused_records.cpp
+++ b/src/scheduler/refused_records.cpp
@@ -30,7 +30,7 @@
     const bool maybeTooLarge = record.bytes > minValueBytes && !record.sizeWasAccepted;
     if (maybeTooLarge && isDivisible(*job, *name)) {
         if (recordPagesEnabled_) {
-            divideRecord(*job, record);
+            divideRecord(*job, *name, record);
             return RefusedRecordAction::drop;
         }
         const bool firstRefusal = oversizedKeys_.insert(record.key).second;
@@ -58,12 +58,14 @@
     return range != nullptr && range->count > 1;
 }
 
-void Cluster::divideRecord(Job& job, const RefusedRecord& record) {
+void Cluster::divideRecord(Job& job, const RecordName& name, const RefusedRecord& record) {
     spdlog::warn("record is too large for the state service: key={} bytes={}", record.key,
                  record.bytes);
     std::size_t& limit = job.layout.reducedValueBytes;
     limit = std::max(std::min(limit, record.bytes / 2), minValueBytes);
-    if (!job.accepted() && job.layout.specSections > 0)
+    const bool firstBlock = name.kind == RecordName::Kind::block && name.from == 0;
+    if (name.kind == RecordName::Kind::specSection ||
+        (firstBlock && job.layout.firstBlockHasNoTasks()))
         // Less urgent than at first, as it may be in vain: the sections must not delay bindings.
         return splitDescription(job, WritePriority::background);
     effects_.dirtyRecords.emplace_back(record.key, WritePriority::immediate);
--- a/src/scheduler/refused_records_test.cpp
+++ b/src/scheduler/refused_records_test.cpp
@@ -162,6 +162,36 @@
     EXPECT_EQ(cluster->find("run-2")->spec.image, std::string(190, 'x'));
 }
 
+TEST_F(RefusedRecordsTest, EachDivisionMakesRecordsSmallerUntilTheSubmissionIsDropped) {
+    // Guards against a refused record that is written again unchanged: a first block that has given
+    // its tasks away already, and a later block of a job whose description is divided.
+    cluster->enableRecordPages();
+    Worker first("n-1"), second("n-2");
+    exchangeHeartbeat(first);
+    exchangeHeartbeat(second);
+    JobSpec many = spec("run-1", 1300, "odd");
+    many.demand = {0.01, 0, 0.01};
+    for (const std::size_t machineTypes : {0U, 100U}) {
+        refusals = 0;
+        if (machineTypes > 0) many.machineTypes = std::vector<std::string>(machineTypes, "box");
+        refuses = [](const std::string&) { return true; };
+        ASSERT_EQ(trySubmit(many), SubmitResult::accepted);
+        EXPECT_EQ(cluster->find("run-1"), nullptr);
+        EXPECT_GT(refusals, 2);
+        EXPECT_EQ(cluster->findInconsistency(), "");
+    }
+    constexpr std::size_t limit = 500;
+    refuses = [](const std::string& value) { return value.size() > limit; };
+    refusals = 0;
+    ASSERT_EQ(trySubmit(many), SubmitResult::accepted);
+    EXPECT_TRUE(cluster->find("run-1")->accepted());
+    EXPECT_TRUE(cluster->find("run-1")->layout.durable());
+    const std::uint32_t bound = cluster->find("run-1")->boundCount;
+    EXPECT_GT(bound, 600U);
+    takeOver();
+    EXPECT_EQ(cluster->find("run-1")->boundCount, bound);
+}
+
 TEST_F(RefusedRecordsTest, RecordThatCannotBeDividedYetIsRetriedAndItsSubmissionDroppedAfterThat) {
     // Not every node can read divided records, so they may not be written yet.
     refuses = [](const std::string& value) { return value.size() > 260; };
