A stored text with an unpaired surrogate makes only its job unreadable

Since json::parse refuses unpaired surrogates, one stored value with such an escape would have kept every node from loading any record: the listing is one document. An earlier version may have written one to a state service that took it and returns it escaped. Answers of the state service are read with any escape, as before; the value itself is refused when its record is read, and its job answered 503.

--- a/src/controller/controller_test.cpp
+++ b/src/controller/controller_test.cpp
@@ -243,6 +243,17 @@
         << "no record was divided, so the stored format is as it was";
 }
 
+TEST_F(ControllerTest, StoredTextWithAnUnpairedSurrogateMakesOnlyItsJobUnreadable) {
+    // Guards against one stored value that keeps every node from loading the records. A state
+    // service that took such a text from an earlier version may return it as an escape.
+    std::string description = testing::submission("run-9");
+    description.insert(description.find("img"), R"(\udc00)");
+    state.keys["jobs/run-9"] = {R"({"spec":)" + description + R"(,"at":0,"per":614})", 1, 0};
+    start(2);
+    EXPECT_EQ(ask(1, "POST", "/v1/jobs", testing::submission("run-2")).response.status, 201);
+    EXPECT_EQ(status(0, "run-9"), "503") << "it exists, but nothing more is known of it";
+}
+
 TEST_F(ControllerTest, RecordsThatTheStateServiceRefusesForGoodDelayNoOtherJob) {
     // Guards against refused records that are written again without a pause: no other job was
     // started or reported as done until the leader changed.
--- a/src/json/json.cpp
+++ b/src/json/json.cpp
@@ -66,7 +66,7 @@
     return {buffer.GetString(), buffer.GetSize()};
 }
 
-std::optional<Document> parse(std::string_view text) {
+std::optional<Document> parse(std::string_view text, Strings strings) {
     const TextProperties properties = scan(text);
     if (properties.tooDeep) return std::nullopt;
     Document d;
@@ -74,7 +74,8 @@
                                                                                     text.size());
     if (d.HasParseError()) return std::nullopt;
     UnicodeChecker checker;
-    if (properties.hasUnicodeEscapes && !d.Accept(checker)) return std::nullopt;
+    const bool mustCheck = strings == Strings::unicode && properties.hasUnicodeEscapes;
+    if (mustCheck && !d.Accept(checker)) return std::nullopt;
     return d;
 }
 
--- a/src/json/json.h
+++ b/src/json/json.h
@@ -14,11 +14,16 @@
 using Value = rapidjson::Value;
 using Document = rapidjson::Document;
 
+/// Which escaped characters strings may have.
+enum class Strings {
+    unicode,  // so that whatever is read can be written as JSON again
+    any,      // also a surrogate without its other half, which becomes bytes that are not UTF-8
+};
+
 /// Parses without recursion, so that deeply nested input cannot exhaust the stack. Returns nothing
-/// if the text is not JSON, if a string in it is not Unicode text (an escaped surrogate without its
-/// other half), or if it is nested deeper than any document that is expected. So whatever is read
-/// can be written as JSON again.
-std::optional<Document> parse(std::string_view text);
+/// if the text is not JSON, if a string in it is not as `strings` demands, or if it is nested
+/// deeper than any document that is expected.
+std::optional<Document> parse(std::string_view text, Strings strings = Strings::unicode);
 
 /// Whether the text is valid UTF-8, as every string in JSON must be.
 [[nodiscard]] bool isUnicode(std::string_view text);
--- a/src/kv_store/client.cpp
+++ b/src/kv_store/client.cpp
@@ -221,7 +221,7 @@
     found.status = statusOf(outcome);
     if (!outcome.answered || (outcome.response.status != 200 && outcome.response.status != 404))
         co_return found;
-    const auto doc = json::parse(outcome.response.body);
+    const auto doc = json::parse(outcome.response.body, json::Strings::any);
     if (found.status == Status::notFound) {
         const auto revision = doc ? json::count(*doc, "epoch") : std::nullopt;
         if (!revision || !isPlausible(*revision, knownAtSend, key))
@@ -257,7 +257,8 @@
 
 bool Client::appendPage(const std::string& body, const std::string& prefix, Revision knownAtSend,
                         ListResult& all) {
-    const auto doc = json::parse(body);
+    // A value that cannot be read must not make all others unreadable; whoever reads it is told.
+    const auto doc = json::parse(body, json::Strings::any);
     const auto* entries = doc ? json::array(*doc, "pairs") : nullptr;
     const auto more = doc ? json::boolean(*doc, "truncated") : std::nullopt;
     const auto revision = doc ? json::count(*doc, "epoch") : std::nullopt;
