Tests: end the injected fault before the variables that it refers to

ControllerTest.RecordsThatTheStateServiceRefusesForGoodDelayNoOtherJob failed under AddressSanitizer (stack-use-after-scope): the controllers' last writes, after the body of the test, asked a lambda that refers to a local string. A fault of the test alone. The writer's test has the same form and ends its fault as well.

--- a/src/controller/controller_test.cpp
+++ b/src/controller/controller_test.cpp
@@ -292,6 +292,7 @@
     refused = "none of them";
     world.run(10s);
     EXPECT_EQ(status(1, "run-2"), "cancelled") << "retried, and stored at last";
+    state.fault = {};  // it refers to variables of this test
 }
 
 TEST_F(ControllerTest, DependentJobsAreAcceptedThroughAnyNodeAndCancelledTogether) {
--- a/src/kv_store/transaction_writer_test.cpp
+++ b/src/kv_store/transaction_writer_test.cpp
@@ -113,6 +113,7 @@
     world.run(10s);
     EXPECT_EQ(durable["k3"], versions["k3"]) << "what the service takes at last is stored";
     EXPECT_EQ(writer->backlog(), 0U);
+    service->fault = {};  // it refers to variables of this test
 }
 
 TEST_F(TransactionWriterTest, HundredsOfRefusedRecordsLeaveTheWriteRateToOthers) {
