--- a/src/common/ids.h
+++ b/src/common/ids.h
@@ -18,8 +18,21 @@
 using MachineIndex = std::uint32_t;
 inline constexpr MachineIndex noMachine = UINT32_MAX;
 
-/// The number of an election; each one has a higher number. Everything that a leader sends carries
-/// it, so that agents and nodes can reject what a former leader sent. 0: no leader yet.
+/// A number that rises with each election. Everything that a leader sends carries one of its
+/// tokens, so that agents and nodes can reject what a former leader sent. 0: no leader yet.
+///
+/// An election reserves `tokensPerTerm` tokens. The first one identifies the term: it stands in
+/// records and in messages between controllers. The leader raises the token of its messages to a
+/// single machine up to the last one, so that the machine rejects late copies of earlier commands.
 using FencingToken = std::uint64_t;
 
+/// Enough to raise a machine's token twice a second for three months, while tokens stay below 2^53
+/// for half a billion elections.
+inline constexpr FencingToken tokensPerTerm = FencingToken{1} << 24U;
+
+/// The last token of the term whose first token that is.
+constexpr FencingToken lastTokenOfTerm(FencingToken first) {
+    return first + tokensPerTerm - 1;
+}
+
 }  // namespace basaltchute
--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "controller/machine_status.h"
 #include "jobs/codec.h"
 
 namespace basaltchute::controller {
@@ -14,6 +15,7 @@
 
 const std::string jobsPath = "/v1/jobs";
 const std::string heartbeatPath = "/agent/beat";
+const std::string machineStatusPrefix = "/status/";  // followed by the name of the machine
 constexpr Duration pledgeTimeout = 500ms;
 constexpr Duration peerStoreTimeout = 500ms;  // of a request relayed to the state service
 /// Timeout of a request relayed to an agent; shorter than the time that the peer waits for this
@@ -90,22 +92,6 @@
     out.closeArray();
 }
 
-/// A JSON array with each machine on a line of its own: no line of a response may be longer than
-/// 64 KiB, however many machines there are.
-std::string machineListJson(const scheduler::Cluster& cluster) {
-    std::string list;
-    for (const auto& m : cluster.machines()) {
-        if (m.presence == worker_api::Presence::gone) continue;
-        json::Writer out;
-        out.open().field("name", m.name).field("type", m.type).field("zone", m.zone);
-        out.field("spot", m.spot).field("up", m.up()).field("sick", m.quarantined);
-        out.field("tasks", static_cast<std::uint64_t>(m.allocations.size()));
-        out.field("session", m.incarnation).close();
-        list += (list.empty() ? "" : ",\n") + out.text();
-    }
-    return '[' + list + ']';
-}
-
 }  // namespace
 
 Controller::Controller(EventLoop& loop, settings::Settings settings,
@@ -268,6 +254,10 @@
         if (request.method != "GET") co_return jsonResponse(405, "{}");
         co_return statusResponse();
     }
+    if (request.target.starts_with(machineStatusPrefix)) {
+        if (request.method != "GET") co_return jsonResponse(405, "{}");
+        co_return machineStatusResponse(request.target.substr(machineStatusPrefix.size()));
+    }
     auto response = co_await handleUserRequest(std::move(request));
     co_return response;
 }
@@ -401,7 +391,7 @@
 
 std::optional<http::Response> Controller::answerHeartbeatAsLeader(
     LeaderTerm& term, const worker_api::StatusReport& report) {
-    if (report.token > election_.token())
+    if (report.token > lastTokenOfTerm(election_.token()))
         election_.stepDown("an agent has seen a higher fencing token");
     if (!term.mayAct()) return std::nullopt;
     return term.handleHeartbeat(report);
@@ -503,7 +493,8 @@
     if (!std::exchange(answeringAsDelegate_, true))
         spdlog::warn("leader is silent, answering heartbeats as delegate: zone={} token={}",
                      settings_.zone, delegate_.token());
-    return http::Response{200, worker_api::encodeHeartbeatResponse(delegate_.token(), {})};
+    return http::Response{
+        200, worker_api::encodeHeartbeatResponse(delegate_.responseToken(report.token), {})};
 }
 
 http::Response Controller::healthResponse() {
@@ -538,6 +529,7 @@
         out.field("jobs", static_cast<std::uint64_t>(cluster.jobCount()));
         out.field("open", static_cast<std::uint64_t>(cluster.openJobs().size()));
         out.field("unwritten", static_cast<std::uint64_t>(term_->writeBacklog()));
+        out.field("restartedAttempts", cluster.restartedAttempts());
         writeBlockedJobs(out, cluster, loop_.now());
         out.key("cells").open();
         for (const auto& [type, pool] : cluster.pools()) {
@@ -554,4 +546,11 @@
     return {200, out.text()};
 }
 
+http::Response Controller::machineStatusResponse(const std::string& machine) {
+    if (!term_ || !term_->loaded()) return jsonResponse(503, R"({"error":"not the leader"})");
+    auto status = machineStatusJson(term_->cluster(), machine, loop_.now());
+    if (!status) return jsonResponse(404, R"({"error":"no such machine"})");
+    return {200, std::move(*status)};
+}
+
 }  // namespace basaltchute::controller
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -87,6 +87,8 @@
     http::Response healthResponse();
     /// The state of this node as JSON and, if it leads, of the cluster.
     http::Response statusResponse();
+    /// The status page of one machine: 503 if this node does not lead, 404 for an unknown machine.
+    http::Response machineStatusResponse(const std::string& machine);
 
     EventLoop& loop_;
     settings::Settings settings_;
--- a/src/controller/controller_test.cpp
+++ b/src/controller/controller_test.cpp
@@ -84,7 +84,7 @@
                 return i;
         return nodes.size();
     }
-    /// The fencing token of the last election, by the stored counter.
+    /// The last fencing token that the last election reserved, by the stored counter.
     std::uint64_t token() {
         const auto doc = json::parse(state.keys.at("lead/token").data);
         return json::count(*doc, "token").value_or(json::count(*doc, "last").value_or(0));
@@ -388,7 +388,7 @@
     state.keys["lead/token"].data = R"({"last":5,"node":"rig-0","format":2})";
     world.run(8s);
     EXPECT_EQ(leader(), 0U);
-    EXPECT_EQ(token(), 6U);
+    EXPECT_EQ(token(), lastTokenOfTerm(6));
 }
 
 TEST_F(ControllerTest, SubmissionDuringAStateServiceOutageIsRefusedAtOnceAndAcceptedAfterwards) {
@@ -416,7 +416,7 @@
     world.run(6s);
     ASSERT_TRUE(state.keys.contains("lead/holder"));
     EXPECT_NE(state.keys.at("lead/holder").data, before);
-    EXPECT_EQ(token(), 2U);
+    EXPECT_EQ(token(), 2 * tokensPerTerm);
     for (std::size_t i = 0; i < 2; ++i)
         EXPECT_EQ(ask(i, "GET", "/v1/jobs/run-1").response.status, 200);
 }
@@ -428,7 +428,7 @@
         EXPECT_EQ(o.response.status, 200);
         EXPECT_NE(o.response.body.find(R"("baton":1)"), std::string::npos);
     }
-    const auto o = ask(0, "POST", "/agent/beat", heartbeat(9, 5));
+    const auto o = ask(0, "POST", "/agent/beat", heartbeat(9, tokensPerTerm + 1));
     EXPECT_NE(o.response.status, 200) << "the agent would ignore it and lose its lease";
 }
 
@@ -444,7 +444,7 @@
     EXPECT_EQ(ask(0, "POST", "/v1/jobs", testing::submission("run-1")).response.status, 503);
     state.down = false;
     world.run(2s);
-    EXPECT_EQ(token(), 1U) << "there was no other election";
+    EXPECT_EQ(token(), tokensPerTerm) << "there was no other election";
     EXPECT_NE(ask(0, "POST", "/v1/jobs", testing::submission("run-1")).response.status, 503);
 }
 
@@ -466,7 +466,9 @@
     const auto outcome = ask(delegate, "POST", "/agent/beat", heartbeat(++sequence, 1));
     EXPECT_EQ(outcome.response.status, 200);
     EXPECT_EQ(outcome.response.body, R"({"baton":1,"orders":[]})");
-    EXPECT_NE(ask(delegate, "POST", "/agent/beat", heartbeat(++sequence, 2)).response.status, 200)
+    EXPECT_NE(ask(delegate, "POST", "/agent/beat", heartbeat(++sequence, tokensPerTerm + 1))
+                  .response.status,
+              200)
         << "that agent would ignore it";
     world.run(limits.maxDuration - limits.leaderSilenceTimeout - 3s);
     EXPECT_EQ(ask(delegate, "POST", "/agent/beat", heartbeat(++sequence, 1)).response.status, 200);
@@ -537,7 +539,7 @@
     }
     state.down = false;
     world.run(2s);
-    EXPECT_EQ(token(), 1U) << "there was no other election";
+    EXPECT_EQ(token(), tokensPerTerm) << "there was no other election";
 }
 
 TEST_F(ControllerTest, PledgeOfASilentFormerLeaderIsNotNeededRightAfterTheElection) {
@@ -561,7 +563,7 @@
     state.down = false;
     launch(*nodes[former]);
     world.run(3s);
-    EXPECT_EQ(token(), 2U) << "there was no other election";
+    EXPECT_EQ(token(), 2 * tokensPerTerm) << "there was no other election";
     EXPECT_EQ(state.keys.at("lead/absent").data, R"({"nodes":[]})") << "it is present again";
 }
 
@@ -632,7 +634,7 @@
     world.run(2900ms);
     EXPECT_EQ(token(), 9U);
     world.run(300ms);
-    EXPECT_EQ(token(), 10U);
+    EXPECT_EQ(token(), lastTokenOfTerm(10));
     // A counter written by an older version does not name that leader: it may be any node.
     kill(0);
     state.keys.erase("lead/holder");
@@ -641,7 +643,7 @@
     world.run(2900ms);
     EXPECT_EQ(token(), 20U);
     world.run(300ms);
-    EXPECT_EQ(token(), 21U);
+    EXPECT_EQ(token(), lastTokenOfTerm(21));
 }
 
 TEST_F(ControllerTest, RestartedLeaderLeadsAgainAtOnceWithANewToken) {
@@ -651,7 +653,7 @@
     ASSERT_TRUE(state.keys.contains("lead/holder")) << "its lease is still valid";
     launch(*nodes[0]);
     world.run(100ms);
-    EXPECT_EQ(token(), 2U) << "at once, and with a leader key of its own";
+    EXPECT_EQ(token(), 2 * tokensPerTerm) << "at once, and with a leader key of its own";
     EXPECT_EQ(ask(0, "GET", "/v1/jobs/run-1").response.status, 200);
 }
 
@@ -711,7 +713,7 @@
     world.run(3s);
     EXPECT_EQ(leader(), 0U);
     EXPECT_EQ(ask(0, "GET", "/v1/jobs/run-9").response.status, 404);
-    EXPECT_GE(token(), 2U);
+    EXPECT_GE(token(), 2 * tokensPerTerm);
 }
 
 TEST_F(ControllerTest, ElectionWhoseResponseIsLostStillCounts) {
@@ -734,7 +736,7 @@
     world.until([&] { return status(next, "run-1") == "pending"; });
     EXPECT_LT(world.clock.now() - ended, 4s);
     world.run(3s);
-    EXPECT_EQ(token(), before + 1) << "there was no second election";
+    EXPECT_EQ(token(), before + tokensPerTerm) << "there was no second election";
     EXPECT_EQ(leader(), next);
     state.fault = nullptr;
 }
@@ -839,7 +841,7 @@
     state.expireLeaseOf("lead/holder");
     world.until([&] { return done; });
     EXPECT_EQ(outcome.response.status, 503);
-    world.until([&] { return token() == 2U && state.keys.contains("lead/holder"); });
+    world.until([&] { return token() == 2 * tokensPerTerm && state.keys.contains("lead/holder"); });
     world.run(2s);
     EXPECT_FALSE(state.keys.contains("jobs/run-1")) << "the write was late and was fenced";
     EXPECT_EQ(ask(0, "GET", "/v1/jobs/run-1").response.status, 404);
@@ -864,7 +866,7 @@
     const auto record = state.keys.find("lead/absent");
     EXPECT_TRUE(record == state.keys.end() || record->second.data == R"({"nodes":[]})")
         << record->second.data;
-    EXPECT_EQ(token(), 1U);
+    EXPECT_EQ(token(), tokensPerTerm);
 }
 
 TEST_F(ControllerTest, WriteOfAFormerLeaderIsFenced) {
--- a/src/controller/leader_term.cpp
+++ b/src/controller/leader_term.cpp
@@ -204,9 +204,9 @@
         const worker_api::Machine& m = cluster_.machines()[machine];
         worker_api::CommandSender::SendResult result;
         if (mayAct()) {
-            http::Request request{
-                "POST", "/commands",
-                worker_api::encodeCommands(cluster_.token(), m.incarnation, commands)};
+            http::Request request{"POST", "/commands",
+                                  worker_api::encodeCommands(cluster_.commandToken(machine),
+                                                             m.incarnation, commands)};
             worker_api::CommandSender::Target target = commandTarget(machine);
             result =
                 co_await commandSender_.send(std::move(target), std::move(request), commandTimeout,
@@ -234,7 +234,7 @@
 bool LeaderTerm::applyReportInResponse(const std::string& body) {
     const auto report = worker_api::parseStatusReport(body);
     if (!report) return true;
-    if (report->token > cluster_.token()) {
+    if (report->token > cluster_.lastToken()) {
         election_.stepDown("an agent has seen a higher fencing token");
         return false;
     }
@@ -534,7 +534,8 @@
         wakeScheduler();
         applyEffects();
     }
-    http::Response response{200, worker_api::encodeHeartbeatResponse(cluster_.token(), commands)};
+    http::Response response{
+        200, worker_api::encodeHeartbeatResponse(cluster_.commandToken(report.machine), commands)};
     if (!mayAct()) return serviceUnavailable();
     return response;
 }
--- a/src/controller/wire_format_test.cpp
+++ b/src/controller/wire_format_test.cpp
@@ -207,7 +207,7 @@
     world.run(1s);
     EXPECT_EQ(ask("GET", "/status"),
               R"(200 {"node":"rig-0","leading":true,"leader":"rig-0","token":1,"connections":1,)"
-              R"("jobs":2,"open":1,"unwritten":0,"held":1,)"
+              R"("jobs":2,"open":1,"unwritten":0,"restartedAttempts":0,"held":1,)"
               R"("waiting":[{"ref":"run-2","for":["run-1"],"needs":1}],)"
               R"("cells":{"box":{"freeZones":0,"freeMachines":1,"freeSlots":0}},)"
               R"("machines":[{"name":"n-1","type":"box","zone":"a","spot":false,"up":true,)"
@@ -227,7 +227,7 @@
               "\n"
               R"(lead/holder {"node":"rig-0","incarnation":"process-1","token":1,"grant":1})"
               "\n"
-              R"(lead/token {"token":1,"node":"rig-0"})"
+              R"(lead/token {"token":16777216,"node":"rig-0"})"
               "\n");
 }
 
--- a/src/leader_election/election_records.h
+++ b/src/leader_election/election_records.h
@@ -17,7 +17,7 @@
 /// Exists while some node leads, and is bound to that node's lease. Every write of a leader has
 /// this key's revision as a precondition, which fences off former leaders.
 inline const std::string leaderKey = "lead/holder";
-/// The last fencing token that was taken, and the format of the stored state.
+/// The last fencing token that was reserved, and the format of the stored state.
 inline const std::string tokenCounterKey = "lead/token";
 /// The nodes that must not campaign, so that the leader needs no pledge from them.
 inline const std::string absentNodesKey = "lead/absent";
@@ -25,8 +25,8 @@
 /// The value of leaderKey.
 struct LeaderRecord {
     std::string node;
-    std::string incarnation;  // of the node's process
-    FencingToken token = 0;
+    std::string incarnation;                 // of the node's process
+    FencingToken token = 0;                  // the first one of its term
     std::optional<kv_store::LeaseId> lease;  // the lease that the key is bound to
 };
 [[nodiscard]] std::string encode(const LeaderRecord& record);
@@ -35,8 +35,8 @@
 
 /// The value of tokenCounterKey.
 struct TokenCounter {
-    FencingToken token = 0;
-    unsigned format = 1;  // of the stored state
+    FencingToken token = 0;  // the last one of the last term, so that the next leader's are higher
+    unsigned format = 1;     // of the stored state
 };
 /// `node` is the node that took the token. From format 2 on the token is stored under another field
 /// name: a version that would lose data of the newer format finds the counter malformed and does
--- a/src/leader_election/leader_election.cpp
+++ b/src/leader_election/leader_election.cpp
@@ -263,8 +263,9 @@
 LeaderElection::Candidacy LeaderElection::prepareCandidacy(
     const StoredRecords& stored, const kv_store::LeaseResult& lease) const {
     Candidacy candidacy;
-    candidacy.counter = {stored.counter.token + 1, stored.counter.format};
-    candidacy.leader = {node_, incarnation_, candidacy.counter.token, lease.id};
+    const FencingToken firstToken = stored.counter.token + 1;
+    candidacy.counter = {lastTokenOfTerm(firstToken), stored.counter.format};
+    candidacy.leader = {node_, incarnation_, firstToken, lease.id};
     candidacy.absentNodes = silentMinority(absentAtElection);
     candidacy.absentNodesChanged = candidacy.absentNodes != stored.absentNodes;
     candidacy.leaseRequestedAt = lease.sentAt;
@@ -312,7 +313,7 @@
 
 void LeaderElection::beginTerm(const Candidacy& candidacy, const StoredRecords& stored,
                                kv_store::Revision revision) {
-    token_ = candidacy.counter.token;
+    token_ = candidacy.leader.token;
     storedFormat_ = candidacy.counter.format;
     leaseId_ = candidacy.leader.lease.value_or(0);
     leaderKeyRevision_ = tokenCounterRevision_ = revision;
@@ -373,7 +374,8 @@
     txn.preconditions = {{election_records::leaderKey, leaderKeyRevision_},
                          {election_records::tokenCounterKey, tokenCounterRevision_}};
     txn.puts = {{election_records::tokenCounterKey,
-                 encode(election_records::TokenCounter{termToken, format}, node_), std::nullopt}};
+                 encode(election_records::TokenCounter{lastTokenOfTerm(termToken), format}, node_),
+                 std::nullopt}};
     const kv_store::CommitResult committed = co_await client_.commit(std::move(txn), scope);
     kv_store::GetResult current;
     if (committed.status == Status::conflict && !scope.cancelled())
@@ -386,7 +388,7 @@
     } else if (current.status == Status::ok) {
         // If the record is of this term, an earlier attempt was executed after all.
         const auto counter = election_records::decodeTokenCounter(current.entry->data);
-        if (counter && counter->token == termToken) {
+        if (counter && counter->token == lastTokenOfTerm(termToken)) {
             tokenCounterRevision_ = current.entry->revision;
             storedFormat_ = counter->format;
         }
--- a/src/leader_election/leader_election.h
+++ b/src/leader_election/leader_election.h
@@ -75,7 +75,7 @@
     [[nodiscard]] bool leaseValid() const { return leading_ && loop_.now() < leaseValidUntil_; }
     /// True between onElected() and onLeadershipLost(), even if the lease has just run out.
     [[nodiscard]] bool leading() const { return leading_; }
-    /// Fencing token of the last election that this node won; 0 if it never won one.
+    /// First fencing token of the last term that this node won; 0 if it never won one.
     [[nodiscard]] FencingToken token() const { return token_; }
     /// The last known leader, which may be this node; empty if none is known.
     [[nodiscard]] const std::optional<LeaderHint>& knownLeader() const { return knownLeader_; }
--- a/src/leader_election/wire_format_test.cpp
+++ b/src/leader_election/wire_format_test.cpp
@@ -73,7 +73,7 @@
                   R"({"key":"lead/token","stamp":0},{"key":"lead/absent","stamp":0}],"then":[)"
                   R"({"put":"lead/holder","data":{"node":"rig-0","incarnation":"process-1",)"
                   R"("token":1,"grant":42},"hold":42},)"
-                  R"({"put":"lead/token","data":{"token":1,"node":"rig-0"}}]})"}));
+                  R"({"put":"lead/token","data":{"token":16777216,"node":"rig-0"}}]})"}));
     EXPECT_EQ(election->token(), 1U);
     EXPECT_EQ(election->storedFormat(), 1U);
     world.run(300ms);
@@ -94,7 +94,7 @@
                        R"({"key":"lead/token","stamp":7},{"key":"lead/absent","stamp":5}],"then":[)"
                        R"({"put":"lead/holder","data":{"node":"rig-0","incarnation":"process-1",)"
                        R"("token":10,"grant":42},"hold":42},)"
-                       R"({"put":"lead/token","data":{"last":10,"node":"rig-0","format":2}},)"
+                       R"({"put":"lead/token","data":{"last":16777225,"node":"rig-0","format":2}},)"
                        R"({"put":"lead/absent","data":{"nodes":["rig-1"]}}]})"});
     EXPECT_EQ(election->token(), 10U);
     EXPECT_EQ(election->storedFormat(), 2U);
@@ -106,10 +106,11 @@
     ASSERT_TRUE(world.until([&] { return peers.elected; }));
     transactions();
     EXPECT_TRUE(testing::finish(world, election->raiseStoredFormat(2, world.scope)));
-    EXPECT_EQ(transactions(),
-              Requests{R"(POST /multi {"guards":[{"key":"lead/holder","stamp":21},)"
-                       R"({"key":"lead/token","stamp":21}],"then":[)"
-                       R"({"put":"lead/token","data":{"last":4,"node":"rig-0","format":2}}]})"});
+    EXPECT_EQ(
+        transactions(),
+        Requests{R"(POST /multi {"guards":[{"key":"lead/holder","stamp":21},)"
+                 R"({"key":"lead/token","stamp":21}],"then":[)"
+                 R"({"put":"lead/token","data":{"last":16777219,"node":"rig-0","format":2}}]})"});
 }
 
 TEST_F(LeaderElectionWireFormat, AbsentNodesRecordRequest) {
--- a/src/lease_delegation/delegate.cpp
+++ b/src/lease_delegation/delegate.cpp
@@ -10,9 +10,14 @@
 }
 }  // namespace
 
-void Delegate::replace(FencingToken token, std::uint64_t number, TimePoint validUntil,
+Delegate::TokenRange Delegate::tokensOf(const Delegation& delegation) {
+    return {delegation.token, std::max(delegation.token, delegation.lastToken)};
+}
+
+void Delegate::replace(TokenRange tokens, std::uint64_t number, TimePoint validUntil,
                        bool transferred) {
-    token_ = token;
+    token_ = tokens.first;
+    lastToken_ = tokens.last;
     number_ = number;
     validUntil_ = validUntil;
     transferred_ = transferred;
@@ -25,21 +30,22 @@
     // A newer answer arrived before this one, or the sender no longer leads.
     if (delegation.token < token_ || (delegation.token == token_ && delegation.number <= number_))
         return true;
-    replace(delegation.token, delegation.number, expiryOf(delegation, requestedAt), false);
+    replace(tokensOf(delegation), delegation.number, expiryOf(delegation, requestedAt), false);
     lastLeaderContact_ = now;
     return true;
 }
 
 void Delegate::adoptSelfDelegation(FencingToken token, TimePoint until, TimePoint leaseEndedAt) {
     if (token < token_) return;
-    replace(token, 0, until, false);
+    replace({token, lastTokenOfTerm(token)}, 0, until, false);
     lastLeaderContact_ = leaseEndedAt;
 }
 
 std::optional<Delegation> Delegate::transfer(FencingToken newest, TimePoint now) const {
     if (newest > token_ || !isValid(now) || !leaderSilent(now)) return std::nullopt;
     return Delegation{token_, 0,
-                      std::chrono::duration_cast<std::chrono::milliseconds>(validUntil_ - now)};
+                      std::chrono::duration_cast<std::chrono::milliseconds>(validUntil_ - now),
+                      lastToken_};
 }
 
 void Delegate::acceptTransfer(const Delegation& delegation, TimePoint requestedAt, TimePoint now) {
@@ -47,7 +53,7 @@
     // has ended.
     const bool newer = delegation.token > token_ || (delegation.token == token_ && number_ == 0);
     if (delegation.duration > limits_.maxDuration || !newer || !needsDelegation(now)) return;
-    replace(delegation.token, 0, expiryOf(delegation, requestedAt), true);
+    replace(tokensOf(delegation), 0, expiryOf(delegation, requestedAt), true);
 }
 
 void Delegate::onLeaderContact(FencingToken token, TimePoint now) {
@@ -62,7 +68,7 @@
     // An agent that has seen only lower tokens has not found the delegating leader yet. It may be
     // answered: the delegating leader knows from the records what may run there, and the answer
     // fences off whatever a former leader sent.
-    if (zone != zone_ || seen > token_ || !isValid(now) || !leaderSilent(now)) return false;
+    if (zone != zone_ || seen > lastToken_ || !isValid(now) || !leaderSilent(now)) return false;
     lastUsedAt_ = now;
     ++answerCount_;
     return true;
--- a/src/lease_delegation/delegate.h
+++ b/src/lease_delegation/delegate.h
@@ -10,6 +10,7 @@
 //
 // State: at most one delegation, in memory only, so a node that has just started has none. Called
 // by the Controller, which sends the requests for delegations and answers the agents.
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -34,6 +35,9 @@
     FencingToken token = 0;
     std::uint64_t number = 0;              // rises with each answer of a leader; 0: transferred
     std::chrono::milliseconds duration{};  // counted from when the request was sent; 0: none
+    /// The last token of the leader's term: agents may have seen any up to it. Lower than `token`
+    /// if the leader is of a version that uses one token only.
+    FencingToken lastToken = 0;
 };
 
 /// The right of one node to answer heartbeats of its zone's agents while the leader is silent.
@@ -75,13 +79,18 @@
     void onLeaderContact(FencingToken token, TimePoint now);
     /// Gives up the delegation because this node now leads.
     void discard() { validUntil_ = TimePoint{}; }
-    /// Whether this node may answer, with token(), a heartbeat of an agent in `zone` that has seen
-    /// the token `seen`. Call it right before the answer is created: returning true is recorded as
-    /// a use. `newest` is the highest token that this node knows of.
+    /// Whether this node may answer, with responseToken(), a heartbeat of an agent in `zone` that
+    /// has seen the token `seen`. Call it right before the answer is created: returning true is
+    /// recorded as a use. `newest` is the highest token that this node knows of.
     bool tryUse(FencingToken seen, const std::string& zone, FencingToken newest, TimePoint now);
 
-    /// Fencing token of the leader in whose name this node may answer.
+    /// First fencing token of the leader in whose name this node may answer.
     [[nodiscard]] FencingToken token() const { return token_; }
+    /// The token that the answer to an agent carries which has seen the token `seen`. The leader
+    /// may have raised that agent's token; a lower one would be dropped and renew nothing.
+    [[nodiscard]] FencingToken responseToken(FencingToken seen) const {
+        return std::max(seen, token_);
+    }
     /// Whether the delegation has not expired.
     [[nodiscard]] bool isValid(TimePoint now) const { return now < validUntil_; }
     /// The request that this node, named `node`, is to send now.
@@ -92,14 +101,19 @@
     [[nodiscard]] std::uint64_t answerCount() const { return answerCount_; }
 
   private:
-    void replace(FencingToken token, std::uint64_t number, TimePoint validUntil, bool transferred);
+    /// `tokens` names the leader's first and last token.
+    struct TokenRange {
+        FencingToken first = 0, last = 0;
+    };
+    [[nodiscard]] static TokenRange tokensOf(const Delegation& delegation);
+    void replace(TokenRange tokens, std::uint64_t number, TimePoint validUntil, bool transferred);
     [[nodiscard]] bool leaderSilent(TimePoint now) const {
         return now >= lastLeaderContact_ + limits_.leaderSilenceTimeout;
     }
 
     DelegationLimits limits_;
     std::string zone_;
-    FencingToken token_ = 0;
+    FencingToken token_ = 0, lastToken_ = 0;
     std::uint64_t number_ = 0, answerCount_ = 0;
     TimePoint validUntil_{}, lastLeaderContact_{};
     bool transferred_ = false;
--- a/src/lease_delegation/delegator.cpp
+++ b/src/lease_delegation/delegator.cpp
@@ -50,7 +50,8 @@
 Delegation Delegator::handleRequest(const DelegationRequest& request, TimePoint cap,
                                     TimePoint now) {
     const auto it = delegates_.find(request.node);
-    if (it == delegates_.end() || request.node == self_) return {token_, 0, {}};
+    if (it == delegates_.end() || request.node == self_)
+        return {token_, 0, {}, lastTokenOfTerm(token_)};
     DelegateState& delegate = it->second;
     assumeTransfers(request.node, delegate, now);
     // However late the request arrives, the last use was at least `timeSinceUse` before now.
@@ -62,7 +63,8 @@
     const TimePoint end = newDelegationEnd(cap, now);
     delegate.issued.push_back({++lastNumber_, now, end});
     delegate.validUntil = std::max(delegate.validUntil, end);
-    return {token_, lastNumber_, std::chrono::duration_cast<std::chrono::milliseconds>(end - now)};
+    return {token_, lastNumber_, std::chrono::duration_cast<std::chrono::milliseconds>(end - now),
+            lastTokenOfTerm(token_)};
 }
 
 TimePoint Delegator::delegateToSelf(TimePoint cap, TimePoint now) {
--- a/src/lease_delegation/lease_delegation_test.cpp
+++ b/src/lease_delegation/lease_delegation_test.cpp
@@ -48,11 +48,33 @@
     EXPECT_TRUE(tryAnswer());
     EXPECT_FALSE(tryAnswer(7, "a"));
     EXPECT_TRUE(tryAnswer(6)) << "that agent had not found the delegating leader yet";
-    EXPECT_FALSE(tryAnswer(8)) << "that agent would drop the answer";
+    EXPECT_FALSE(tryAnswer(lastTokenOfTerm(7) + 1)) << "that agent would drop the answer";
     delegate.onLeaderContact(7, clock.now());
     EXPECT_FALSE(tryAnswer()) << "the leader is back";
 }
 
+TEST_F(DelegationTest, AnAgentIsAnsweredWithTheTokenThatTheLeaderHasRaisedForIt) {
+    renewDelegationFor(5s);
+    clock.advance(5s);
+    EXPECT_TRUE(tryAnswer(7 + 3));
+    EXPECT_EQ(delegate.responseToken(7 + 3), 7U + 3U);
+    EXPECT_TRUE(tryAnswer(lastTokenOfTerm(7)));
+    EXPECT_EQ(delegate.responseToken(6), 7U) << "that agent had seen a former leader only";
+    const auto transferred = delegate.transfer(7, clock.now());
+    ASSERT_TRUE(transferred);
+    EXPECT_EQ(transferred->lastToken, lastTokenOfTerm(7));
+    Delegate self{limits, "b", clock.now() - 1h};
+    self.adoptSelfDelegation(7, clock.now() + 20s, clock.now());
+    EXPECT_TRUE(self.tryUse(7 + 3, "b", 7, clock.now() + 5s));
+}
+
+TEST_F(DelegationTest, TheDelegationOfAnOlderVersionsLeaderCoversItsOneTokenOnly) {
+    ASSERT_TRUE(delegate.accept(Delegation{7, 1, 30s}, clock.now(), clock.now()));
+    clock.advance(5s);
+    EXPECT_TRUE(tryAnswer(7));
+    EXPECT_FALSE(tryAnswer(8)) << "the next leader's";
+}
+
 TEST_F(DelegationTest, ExpiresByTheDelegatesClockEvenAfterALongPause) {
     renewDelegationFor(5s);
     clock.advance(59s);
@@ -300,7 +322,7 @@
     void heartbeat(Worker& w, TimePoint& renewed, bool reached) {
         if (!reached) return;
         w.execute(cluster_->onHeartbeat(w.next(), clock_.now()));
-        w.report.token = leaderToken_;
+        w.report.token = cluster_->commandToken(w.report.machine);
         renewed = clock_.now();
     }
     void requestDelegation(Delegate& delegate, const std::string& name, bool answered) {
@@ -345,7 +367,7 @@
             spec.zone = scenario_.cancelAt < 0 ? std::nullopt : std::optional<std::string>("b");
             cluster_->submit(spec, clock_.now(), clock_.wall());
         }
-        if (s == scenario_.takeOverAt) startLeader(2);
+        if (s == scenario_.takeOverAt) startLeader(lastTokenOfTerm(1) + 1);
         if (s == scenario_.restartAt) delegate_ = Delegate{limits_, "b", clock_.now()};
         if (!paused && (!partitioned || (s == partitionedAt && scenario_.answerLost)))
             requestDelegation(delegate_, "rig-1", !partitioned);
--- a/src/peer_rpc/peer_rpc.capnp
+++ b/src/peer_rpc/peer_rpc.capnp
@@ -58,6 +58,7 @@
   token @1 :UInt64;
   number @2 :UInt64;
   spanMs @3 :UInt32;  # counted from when the Borrow was sent
+  lastToken @4 :UInt64;  # the last one that agents may have seen of this leader; 0: the same as token
 }
 
 # A user's request or an agent's heartbeat that is forwarded to the leader, or a request to the state
--- a/src/peer_rpc/peer_rpc.cpp
+++ b/src/peer_rpc/peer_rpc.cpp
@@ -80,6 +80,7 @@
         l.setToken(message.delegation->token);
         l.setNumber(message.delegation->number);
         l.setSpanMs(static_cast<std::uint32_t>(message.delegation->duration.count()));
+        l.setLastToken(message.delegation->lastToken);
     } else if (message.reply) {
         auto r = frame.initReply();
         r.setId(message.id);
@@ -145,8 +146,9 @@
         } else if (frame.isLoan()) {
             const auto l = frame.getLoan();
             into.id = l.getId();
-            into.delegation = lease_delegation::Delegation{
-                l.getToken(), l.getNumber(), std::chrono::milliseconds(l.getSpanMs())};
+            into.delegation = lease_delegation::Delegation{l.getToken(), l.getNumber(),
+                                                           std::chrono::milliseconds(l.getSpanMs()),
+                                                           l.getLastToken()};
         } else if (frame.isReply()) {
             const auto r = frame.getReply();
             into.id = r.getId();
--- a/src/peer_rpc/wire_format_test.cpp
+++ b/src/peer_rpc/wire_format_test.cpp
@@ -177,19 +177,32 @@
 
 TEST(WireFormat, DelegationFrameBytes) {
     const std::string frame =
-        "40000000000000000700000000000000010001000500000000000000000000000400000028272625"
-        "2423222108070605040302013837363534333231803e000000000000";
+        "48000000000000000800000000000000010001000500000000000000000000000500000028272625"
+        "2423222108070605040302013837363534333231803e0000000000004847464544434241";
     Message message;
     message.id = 0x2122232425262728;
-    message.delegation =
-        lease_delegation::Delegation{0x0102030405060708, 0x3132333435363738, 16000ms};
+    message.delegation = lease_delegation::Delegation{0x0102030405060708, 0x3132333435363738,
+                                                      16000ms, 0x4142434445464748};
     EXPECT_EQ(toHex(encode(message)), frame);
     const auto read = decoded(frame);
     ASSERT_TRUE(read.delegation);
+    EXPECT_EQ(read.delegation->lastToken, 0x4142434445464748U);
+    EXPECT_EQ(read.id, 0x2122232425262728U);
+    EXPECT_EQ(read.delegation->token, 0x0102030405060708U);
+    EXPECT_EQ(read.delegation->number, 0x3132333435363738U);
+    EXPECT_EQ(read.delegation->duration, 16000ms);
+}
+
+TEST(WireFormat, DelegationFrameOfAVersionWithOneTokenPerTerm) {
+    const auto read = decoded(
+        "40000000000000000700000000000000010001000500000000000000000000000400000028272625"
+        "2423222108070605040302013837363534333231803e000000000000");
+    ASSERT_TRUE(read.delegation);
     EXPECT_EQ(read.id, 0x2122232425262728U);
     EXPECT_EQ(read.delegation->token, 0x0102030405060708U);
     EXPECT_EQ(read.delegation->number, 0x3132333435363738U);
     EXPECT_EQ(read.delegation->duration, 16000ms);
+    EXPECT_EQ(read.delegation->lastToken, 0U);
 }
 
 }  // namespace
--- a/src/scheduler/allocations.cpp
+++ b/src/scheduler/allocations.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "scheduler/attempt_log.h"
 #include "scheduler/cluster.h"
 
 // Allocations: binding, stopping and releasing tasks, and the timers of machines (leases, spot
@@ -14,6 +15,7 @@
 using worker_api::Allocation;
 using worker_api::Machine;
 using worker_api::Presence;
+using worker_api::StopReason;
 
 namespace {
 constexpr Duration leaseMargin = 500ms;  // added to a lease, in addition to clock drift
@@ -22,8 +24,11 @@
 constexpr Duration delegationRecheckInterval = 500ms;
 }  // namespace
 
-Cluster::Cluster(const settings::Settings& settings, FencingToken token)
-    : settings_(settings), token_(token), maxValueBytes_(settings.valueBytes) {}
+Cluster::Cluster(const settings::Settings& settings, FencingToken token, FencingToken lastToken)
+    : settings_(settings),
+      token_(token),
+      lastToken_(lastToken),
+      maxValueBytes_(settings.valueBytes) {}
 
 // ---------------------------------------------------------------- allocations
 
@@ -99,16 +104,20 @@
     if (isCurrentAllocation(allocation, machine)) unbindTask(job, allocation.task);
 }
 
-void Cluster::releaseAllAllocations(MachineIndex machine) {
-    while (!machines_[machine].allocations.empty())
-        releaseAllocation(machine, machines_[machine].allocations.size() - 1);
+void Cluster::releaseAllAllocations(MachineIndex machine, const char* reason) {
+    Machine& m = machines_[machine];
+    while (!m.allocations.empty()) {
+        if (m.allocations.back().state.launchSent())
+            logLostAttempt(m, m.allocations.back(), reason, now_);
+        releaseAllocation(machine, m.allocations.size() - 1);
+    }
 }
 
-void Cluster::stopTask(Job& job, std::uint32_t task) {
+void Cluster::stopTask(Job& job, std::uint32_t task, StopReason reason) {
     JobTask& t = job.tasks[task];
     if (t.state != TaskState::bound || t.stopping) return;
     Machine& m = machines_[t.machine];
-    const Allocation* allocation = m.findAllocation(job, task, t.attempt);
+    Allocation* allocation = m.findAllocation(job, task, t.attempt);
     if (allocation != nullptr && !allocation->state.launchSent()) {
         // The launch was never sent, so there is nothing to stop and the machine will report
         // nothing. Such a task was once marked as stopping and never released its resources.
@@ -116,17 +125,18 @@
         return;
     }
     t.stopping = true;
+    if (allocation != nullptr) allocation->launch.stopReason = reason;
     effects_.machinesToCommand.insert(t.machine);
     markCapacityDirty(t.machine);
 }
 
-void Cluster::stopTaskOrGang(Job& job, std::uint32_t task) {
-    if (job.spec.shape != Shape::gang) return stopTask(job, task);
-    for (std::uint32_t member = 0; member < job.spec.tasks; ++member) stopTask(job, member);
+void Cluster::stopTaskOrGang(Job& job, std::uint32_t task, StopReason reason) {
+    if (job.spec.shape != Shape::gang) return stopTask(job, task, reason);
+    for (std::uint32_t member = 0; member < job.spec.tasks; ++member) stopTask(job, member, reason);
 }
 
-void Cluster::stopTasks(const TaskList& tasks) {
-    for (const auto& [job, task] : tasks) stopTaskOrGang(*job, task);
+void Cluster::stopTasks(const TaskList& tasks, StopReason reason) {
+    for (const auto& [job, task] : tasks) stopTaskOrGang(*job, task, reason);
 }
 
 // ---------------------------------------------------------------- machines
@@ -136,12 +146,11 @@
     now_ = now;
     m.presence = Presence::gone;
     m.lastHeardAt = now;
-    releaseAllAllocations(machine);
+    releaseAllAllocations(machine, "machine_deleted");
     quota_.removeMachine(machine, m);
     // The machine itself stays registered, so that a late report does not bring it back. What was
     // known about its images and tasks is discarded.
     m.cachedImages.clear();
-    m.tombstones.clear();
     m.terminalStatuses.clear();
     m.unknownTasks.clear();
     m.failedJobs.clear();
@@ -196,7 +205,7 @@
         else
             due.emplace_back(allocation.job, allocation.task);
     }
-    stopTasks(due);
+    stopTasks(due, StopReason::interrupted);
 }
 
 void Cluster::scheduleTimer(MachineIndex machine, TimePoint at) {
@@ -221,8 +230,7 @@
     spdlog::warn("machine lease expired: machine={} released_tasks={}", m.name,
                  m.allocations.size());
     m.endedIncarnation = std::max(m.endedIncarnation, m.incarnation);
-    m.tombstones.clear();
-    releaseAllAllocations(machine);
+    releaseAllAllocations(machine, "lease_expired");
 }
 
 void Cluster::runTimers(MachineIndex machine, TimePoint now) {
--- a/src/scheduler/cluster.h
+++ b/src/scheduler/cluster.h
@@ -64,9 +64,12 @@
 /// The state of the cluster as one leader knows it. See the top of this file.
 class Cluster {
   public:
-    /// `token` is the fencing token of this leader: workers that have seen it reject commands with
-    /// lower tokens. The settings must outlive the cluster.
-    Cluster(const settings::Settings& settings, FencingToken token);
+    /// `token` is the first fencing token of this leader's term: workers that have seen it reject
+    /// commands with lower tokens. `lastToken` is the last one that it may use. The settings must
+    /// outlive the cluster.
+    Cluster(const settings::Settings& settings, FencingToken token, FencingToken lastToken);
+    Cluster(const settings::Settings& settings, FencingToken token)
+        : Cluster(settings, token, lastTokenOfTerm(token)) {}
     Cluster(const Cluster&) = delete;  // its parts refer to each other
     Cluster& operator=(const Cluster&) = delete;
     ~Cluster() = default;
@@ -255,7 +258,15 @@
     /// The jobs that are neither done nor cancelled, without the blocked ones.
     [[nodiscard]] const std::vector<Job*>& openJobs() const { return openJobs_; }
     [[nodiscard]] std::size_t jobCount() const { return jobs_.size(); }
+    /// The first and the last fencing token of this leader's term.
     [[nodiscard]] FencingToken token() const { return token_; }
+    [[nodiscard]] FencingToken lastToken() const { return lastToken_; }
+    /// The token that a message to the machine has to carry now. It rises when the machine is told
+    /// to forget attempts that were launched directly. The first one if the machine is not known.
+    [[nodiscard]] FencingToken commandToken(MachineIndex machine) const;
+    [[nodiscard]] FencingToken commandToken(const std::string& machine) const;
+    /// How many attempts machines have started again after they had ended, so far.
+    [[nodiscard]] std::uint64_t restartedAttempts() const { return restartedAttempts_; }
     [[nodiscard]] const settings::Settings& settings() const { return settings_; }
     /// Returns the effects since the last call.
     Effects takeEffects() { return std::exchange(effects_, {}); }
@@ -354,18 +365,19 @@
     /// Frees the resources of an allocation, and unbinds its task if it is the current one.
     /// `position`: among the machine's allocations.
     void releaseAllocation(MachineIndex machine, std::size_t position);
-    void releaseAllAllocations(MachineIndex machine);
+    /// Releases whatever is possibly on a machine that has lost it. `reason` is for the log.
+    void releaseAllAllocations(MachineIndex machine, const char* reason);
     /// Whether the allocation's attempt is the one that its task is bound to, on this machine.
     [[nodiscard]] bool isCurrentAllocation(const worker_api::Allocation& allocation,
                                            MachineIndex machine) const;
     /// Stops a task. If it belongs to a gang, stops the whole gang, which does no work without one
     /// of its members.
-    void stopTaskOrGang(Job& job, std::uint32_t task);
-    void stopTask(Job& job, std::uint32_t task);
+    void stopTaskOrGang(Job& job, std::uint32_t task, worker_api::StopReason reason);
+    void stopTask(Job& job, std::uint32_t task, worker_api::StopReason reason);
     using TaskList = std::vector<std::pair<Job*, std::uint32_t>>;
     /// Stops several tasks. Stopping a task may release allocations, so callers that iterate over
     /// those collect the tasks first and stop them afterwards.
-    void stopTasks(const TaskList& tasks);
+    void stopTasks(const TaskList& tasks, worker_api::StopReason reason);
 
     // Timers
     /// The latest time, by this node's clock, at which an agent may still hold a lease that was
@@ -415,20 +427,27 @@
     void checkHeartbeatsArrive(MachineIndex machine, TimePoint now);
 
     // Commands
-    enum class CommandChannel { heartbeatResponse, direct };
     /// Whether all tasks of a gang are bound or done, and that is durable.
     [[nodiscard]] bool allTasksBound(const Job& job) const;
     /// Whether everything that must be durable before the launch is.
     [[nodiscard]] bool mayLaunch(const worker_api::Allocation& allocation) const;
     /// Whether the attempt must not run, or not run any longer.
     [[nodiscard]] bool mustStop(const worker_api::Allocation& allocation) const;
-    std::vector<worker_api::Command> commandsFor(MachineIndex machine, CommandChannel channel);
-    /// Tells the machine to forget ended attempts whose exits are durable.
-    void addForgetCommands(const worker_api::Machine& m,
-                           std::vector<worker_api::Command>& out) const;
-    void addStopCommand(worker_api::Allocation& allocation, CommandChannel channel,
-                        std::vector<worker_api::Command>& out);
-    void addLaunchCommand(worker_api::Allocation& allocation, CommandChannel channel,
+    void addLaunchesAndStops(MachineIndex machine, worker_api::CommandChannel channel,
+                             std::vector<worker_api::Command>& out);
+    /// Tells the machine to forget ended attempts whose exits are durable, under a token that
+    /// fences every direct launch of them. `mayRaiseToken`: whether the token may be raised for
+    /// that; otherwise they may have to wait.
+    void addForgetCommands(MachineIndex machine, bool mayRaiseToken,
+                           std::vector<worker_api::Command>& out);
+    /// Whether a direct launch to the machine could still be fenced within this term.
+    [[nodiscard]] bool mayLaunchDirectly(MachineIndex machine) const {
+        return commandToken(machine) < lastToken();
+    }
+    void addStopCommand(MachineIndex machine, worker_api::Allocation& allocation,
+                        worker_api::CommandChannel channel, std::vector<worker_api::Command>& out);
+    void addLaunchCommand(MachineIndex machine, worker_api::Allocation& allocation,
+                          worker_api::CommandChannel channel,
                           std::vector<worker_api::Command>& out);
 
     // Capacity
@@ -528,7 +547,7 @@
 
     const settings::Settings& settings_;
     settings::OperatorSettings operator_;
-    FencingToken token_;
+    FencingToken token_, lastToken_;
     autoscaler::Catalogue catalogue_;
     Quota quota_{settings_, operator_, catalogue_};
     RuntimeEstimates estimates_;
@@ -545,6 +564,7 @@
 
     // Machines
     worker_api::MachineRegistry machines_;
+    std::uint64_t restartedAttempts_ = 0;
     std::set<std::string> unreachableZones_;
     std::set<std::pair<TimePoint, MachineIndex>> timers_;  // by Machine::nextTimerAt
 
--- a/src/scheduler/cluster_fixture.h
+++ b/src/scheduler/cluster_fixture.h
@@ -40,7 +40,7 @@
     void commit() { testing::commitAll(*cluster, records); }
     /// Replaces the cluster by that of the next leader, loaded from the records.
     void takeOver() {
-        cluster = makeCluster(cluster->token() + 1);
+        cluster = makeCluster(cluster->lastToken() + 1);
         for (const auto& [k, data] : records)
             ASSERT_TRUE(cluster->loadRecord(k, data, clock.now(), clock.wall()));
         cluster->finishLoading(clock.now());
@@ -48,7 +48,7 @@
     /// Sends a heartbeat and returns the commands in its response, without executing them.
     std::vector<Command> heartbeat(Worker& w) {
         const auto commands = cluster->onHeartbeat(w.next(), clock.now());
-        w.report.token = cluster->token();
+        w.report.token = cluster->commandToken(w.report.machine);
         return commands;
     }
     /// Sends a heartbeat and executes the commands in its response.
--- a/src/scheduler/cluster_test.cpp
+++ b/src/scheduler/cluster_test.cpp
@@ -190,7 +190,7 @@
     EXPECT_EQ(kindOf(commands[0]), CommandKind::forget);
 }
 
-TEST_F(ClusterTest, AnUnansweredDirectLaunchStaysAllocatedAndIsNeverForgotten) {
+TEST_F(ClusterTest, AnUnansweredDirectLaunchStaysAllocatedAndIsForgottenUnderAHigherTokenOnly) {
     Worker worker("n-1");
     exchangeHeartbeat(worker);
     Job& job = submit(testing::spec("run-1"));
@@ -209,9 +209,14 @@
     EXPECT_EQ(kindOf(commands[1]), CommandKind::stop);
     EXPECT_EQ(cluster->machines()[machineIndex].allocations.size(), 1U);
     worker.execute(commands);
-    for (int i = 0; i < 3; ++i)
-        EXPECT_TRUE(heartbeat(worker).empty())
-            << "if the worker forgot the task, the late launch could start it again";
+    const FencingToken launchToken = cluster->commandToken(machineIndex);
+    EXPECT_TRUE(heartbeat(worker).empty()) << "its end is not on record yet";
+    commit();
+    commands = heartbeat(worker);
+    ASSERT_EQ(commands.size(), 1U);
+    EXPECT_EQ(kindOf(commands[0]), CommandKind::forget);
+    EXPECT_GT(cluster->commandToken(machineIndex), launchToken)
+        << "under the same token the late launch could start the task again";
     EXPECT_TRUE(cluster->machines()[machineIndex].allocations.empty());
 }
 
--- a/src/scheduler/commands.cpp
+++ b/src/scheduler/commands.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "scheduler/attempt_log.h"
 #include "scheduler/cluster.h"
 
 // The commands for a machine, sent in the response to its heartbeat or in a direct request.
@@ -9,9 +10,11 @@
 using namespace std::chrono_literals;
 using worker_api::Allocation;
 using worker_api::Command;
+using worker_api::CommandChannel;
 using worker_api::ForgetTask;
 using worker_api::LaunchTask;
 using worker_api::Machine;
+using worker_api::StopReason;
 using worker_api::StopTask;
 using worker_api::TaskAttempt;
 
@@ -48,28 +51,52 @@
     return job.spec.shape != Shape::gang || allTasksBound(job);
 }
 
-void Cluster::addForgetCommands(const Machine& m, std::vector<Command>& out) const {
-    for (const auto& [ended, version] : m.terminalStatuses) {
+FencingToken Cluster::commandToken(MachineIndex machine) const {
+    return std::max(token_, machines_[machine].raisedToken);
+}
+
+FencingToken Cluster::commandToken(const std::string& machine) const {
+    const auto index = machines_.find(machine);
+    return index ? commandToken(*index) : token_;
+}
+
+void Cluster::addForgetCommands(MachineIndex machine, bool mayRaiseToken,
+                                std::vector<Command>& out) {
+    Machine& m = machines_[machine];
+    // A direct request may be delivered again at any later time, also after it was answered. Once
+    // the worker has forgotten an attempt, only a higher token keeps a copy of its launch from
+    // starting it again. The worker takes the token of this message before it executes it.
+    const bool fenced = commandToken(machine) > m.directLaunchToken;
+    if (!fenced && !mayRaiseToken) return;
+    const auto reason = fenced ? ForgetReason::olderToken : ForgetReason::tokenRaised;
+    for (auto& [ended, status] : m.terminalStatuses) {
         if (out.size() >= maxForgets) break;
-        if (m.tombstones.contains(ended)) continue;
         const auto job = jobs_.find(ended.job);
         // The result of the exit must be durable first: once the worker forgets it, it is lost.
         if (job != jobs_.end() && ended.task < job->second->spec.tasks &&
-            job->second->layout.rangeOf(ended.task).durableVersion < version)
+            job->second->layout.rangeOf(ended.task).durableVersion < status.recordVersion)
             continue;
         out.emplace_back(ForgetTask{ended});
+        if (!std::exchange(status.forgetSent, true))
+            logForgottenAttempt(m, ended, status, reason, now_);
     }
+    if (!out.empty() && !fenced) m.raisedToken = commandToken(machine) + 1;
 }
 
-void Cluster::addStopCommand(Allocation& allocation, CommandChannel channel,
+void Cluster::addStopCommand(MachineIndex machine, Allocation& allocation, CommandChannel channel,
                              std::vector<Command>& out) {
     if (!allocation.state.launchSent()) return;
     if (channel == CommandChannel::direct && allocation.stopSent) return;
+    if (allocation.launch.stopReason == StopReason::none)
+        allocation.launch.stopReason = allocation.orphaned       ? StopReason::orphaned
+                                       : !allocation.job->open() ? StopReason::jobClosed
+                                                                 : StopReason::superseded;
     const JobSpec& spec = allocation.job->spec;
     const JobTask& task = allocation.job->tasks[allocation.task];
     const bool checkpoints =
         task.stopping && allocation.job->open() && spec.checkpointIntervalS > 0;
-    if (!allocation.state.confirmed() && allocation.state.directLaunchUnresolved())
+    if (!allocation.state.confirmed() && allocation.state.directLaunchUnresolved() &&
+        (channel == CommandChannel::heartbeatResponse || mayLaunchDirectly(machine)))
         // An unanswered direct launch may still arrive. A launch followed by a stop makes the
         // attempt known to the worker and ends it, so that the late launch is a duplicate, which
         // does nothing.
@@ -81,12 +108,20 @@
     allocation.stopSent = true;
 }
 
-void Cluster::addLaunchCommand(Allocation& allocation, CommandChannel channel,
+void Cluster::addLaunchCommand(MachineIndex machine, Allocation& allocation, CommandChannel channel,
                                std::vector<Command>& out) {
     if (allocation.state.confirmed() || allocation.state.adopted()) return;
     if (!mayLaunch(allocation)) return;
-    if (channel == CommandChannel::direct && allocation.state.launchSent()) return;
+    if (channel == CommandChannel::direct &&
+        (allocation.state.launchSent() || !mayLaunchDirectly(machine)))
+        return;
     out.emplace_back(LaunchTask{attemptIn(allocation)});
+    if (!allocation.launch.channel) {
+        allocation.launch.channel = channel;
+        allocation.launch.token = commandToken(machine);
+        allocation.launch.incarnation = machines_[machine].incarnation;
+        allocation.launch.sentAt = now_;
+    }
     if (channel == CommandChannel::direct)
         allocation.state.onDirectLaunchSent();
     else
@@ -94,10 +129,9 @@
     allocation.job->tasks[allocation.task].phase = TaskPhase::launchSent;
 }
 
-std::vector<Command> Cluster::commandsFor(MachineIndex machine, CommandChannel channel) {
+void Cluster::addLaunchesAndStops(MachineIndex machine, CommandChannel channel,
+                                  std::vector<Command>& out) {
     Machine& m = machines_[machine];
-    std::vector<Command> out;
-    if (channel == CommandChannel::heartbeatResponse) addForgetCommands(m, out);
     for (const auto& t : m.unknownTasks) {
         if (out.size() >= maxCommands) break;
         out.emplace_back(StopTask{{t.job, t.task, t.attempt}, Duration::zero()});
@@ -105,18 +139,22 @@
     for (Allocation& allocation : m.allocations) {
         if (out.size() >= maxCommands) break;
         if (mustStop(allocation))
-            addStopCommand(allocation, channel, out);
+            addStopCommand(machine, allocation, channel, out);
         else
-            addLaunchCommand(allocation, channel, out);
+            addLaunchCommand(machine, allocation, channel, out);
     }
-    return out;
 }
 
 std::vector<Command> Cluster::takeDirectCommands(MachineIndex machine, TimePoint now) {
     Machine& m = machines_[machine];
     if (m.commandInFlight || !m.up() || !isResponsive(m, now)) return {};
-    auto out = commandsFor(machine, CommandChannel::direct);
+    now_ = now;
+    std::vector<Command> out;
+    addLaunchesAndStops(machine, CommandChannel::direct, out);
     m.commandInFlight = !out.empty();
+    if (std::any_of(out.begin(), out.end(),
+                    [](const Command& c) { return std::holds_alternative<LaunchTask>(c); }))
+        m.directLaunchToken = commandToken(machine);
     return out;
 }
 
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -272,7 +272,7 @@
         if (job.spec.checkpointIntervalS > 0 && isOpportunistic(job) && !mustStop(allocation))
             chosen.emplace_back(allocation.job, allocation.task);
     }
-    stopTasks(chosen);
+    stopTasks(chosen, worker_api::StopReason::moved);
 }
 
 void Cluster::migrateReplica(MachineIndex machine, TimePoint now) {
@@ -290,7 +290,7 @@
             continue;
         const MachineIndex to = chooseMachine(*allocation.job, {}, now);
         if (to == noMachine || startDelaySeconds(allocation.job->spec, machines_[to]) > 0) continue;
-        stopTaskOrGang(*allocation.job, allocation.task);
+        stopTaskOrGang(*allocation.job, allocation.task, worker_api::StopReason::moved);
         return;
     }
 }
--- a/src/scheduler/preemption.cpp
+++ b/src/scheduler/preemption.cpp
@@ -56,7 +56,7 @@
         capacity += allocation.job->spec.demand;
         chosen.emplace_back(allocation.job, allocation.task);
     }
-    if (fits(demand, capacity)) stopTasks(chosen);
+    if (fits(demand, capacity)) stopTasks(chosen, worker_api::StopReason::preempted);
     return false;
 }
 
@@ -134,7 +134,7 @@
             const Allocation& allocation = machines_[plan.machine].allocations[i];
             victims.emplace_back(allocation.job, allocation.task);
         }
-        stopTasks(victims);
+        stopTasks(victims, worker_api::StopReason::preempted);
         reclaimedFor_.emplace(plan.machine, &job);
         ++planned[plan.machine].tasks;
         refreshCapacities();
--- a/src/scheduler/reconciliation.cpp
+++ b/src/scheduler/reconciliation.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "scheduler/attempt_log.h"
 #include "scheduler/cluster.h"
 
 // Reconciles status reports with the state: what a report proves about the allocations of its
@@ -14,6 +15,7 @@
 using worker_api::Allocation;
 using worker_api::AllocationState;
 using worker_api::Command;
+using worker_api::CommandChannel;
 using worker_api::ExitCause;
 using worker_api::LaunchTask;
 using worker_api::Machine;
@@ -22,6 +24,7 @@
 using worker_api::StatusReport;
 using worker_api::TaskAttempt;
 using worker_api::TaskStatus;
+using worker_api::TerminalStatus;
 
 namespace {
 
@@ -157,8 +160,6 @@
     const Allocation* allocation = m.findAllocation(*job, t.task, t.attempt);
     if (t.cause == ExitCause::done && job->spec.shape != Shape::service) recordResult(*job, t, now);
     if (allocation == nullptr) return;
-    if (allocation->state.directLaunchMayArrive())
-        m.tombstones.insert(TaskAttempt{t.job, t.task, t.attempt});
     applyExitCause(machine, *allocation, t.cause, now);
     releaseAllocation(machine, static_cast<std::size_t>(allocation - m.allocations.data()));
 }
@@ -194,8 +195,13 @@
         return;
     }
     Allocation* known = m.findAllocation(*job, t.task, t.attempt);
+    if (known == nullptr && m.formerLeadersFenced) {
+        ++restartedAttempts_;
+        logRestartedAttempt(m, {t.job, t.task, t.attempt});
+    }
     Allocation& allocation = known != nullptr ? *known : adoptReported(machine, *job, t);
     allocation.lastReportedIn = m.heartbeatSequence;
+    if (!allocation.launch.confirmedAt) allocation.launch.confirmedAt = now;
     allocation.state.onReported();
     if (!isCurrentAllocation(allocation, machine)) return;
     JobTask& task = job->tasks[t.task];
@@ -230,6 +236,7 @@
     if (r.interruptionNotice) recordInterruptionNotice(index, *r.interruptionNotice, now);
     reconcileTasks(index, r, now);
     releaseUnreported(index, r, source);
+    m.formerLeadersFenced = m.formerLeadersFenced || r.token >= token_;
 }
 
 void Cluster::onFirstReport(MachineIndex machine, const StatusReport& r, TimePoint now) {
@@ -259,12 +266,15 @@
             now - m.lastAnsweredAt < settings_.lease / 2)
             markInboundPartitioned(machine, "lease_expired_despite_responses", now);
         m.answeredHeartbeats = m.ignoredResponses = 0;
-        m.tombstones.clear();
+        m.formerLeadersFenced = false;
         m.cachedImages.clear();
         markCapacityDirty(machine);
         // The worker has killed all its tasks. Bindings whose launch was never sent remain valid.
         for (std::size_t i = m.allocations.size(); i-- > 0;)
-            if (m.allocations[i].state.launchSent()) releaseAllocation(machine, i);
+            if (m.allocations[i].state.launchSent()) {
+                logLostAttempt(m, m.allocations[i], "new_session", now);
+                releaseAllocation(machine, i);
+            }
     }
     // A new incarnation holds a lease from its start, before any of its heartbeats is answered.
     // Without this, the lease of the former incarnation still counted: an incarnation that became
@@ -323,10 +333,17 @@
             m.terminalStatuses.insert(*known);
             continue;
         }
-        onTaskExited(machine, t, now);
         const Job* job = find(t.job);
         const bool isKnownTask = job != nullptr && t.task < job->spec.tasks;
-        m.terminalStatuses.emplace(ended, isKnownTask ? job->layout.rangeOf(t.task).version : 0);
+        TerminalStatus status;
+        status.cause = t.cause;
+        status.reportedAt = now;
+        if (isKnownTask)
+            if (const Allocation* launched = m.findAllocation(*job, t.task, t.attempt))
+                status.launch = launched->launch;
+        onTaskExited(machine, t, now);
+        if (isKnownTask) status.recordVersion = job->layout.rangeOf(t.task).version;
+        m.terminalStatuses.emplace(ended, std::move(status));
     }
 }
 
@@ -339,12 +356,14 @@
         // An attempt that the report does not list is not on the machine, unless a launch of it may
         // still be on its way. Launches of a former leader are rejected once the worker has seen
         // this leader's fencing token.
-        const bool fenced = state.adopted() && r.token == token_;
+        const bool fenced = state.adopted() && r.token >= token_;
         // The worker executes or drops a launch in a heartbeat response before it sends its next
         // heartbeat. The report in a direct response may be older than that.
         const bool neverLaunched = source == ReportSource::heartbeat && mustStop(allocation) &&
                                    !state.adopted() && !state.directLaunchMayArrive();
-        if (state.confirmed() || fenced || neverLaunched) releaseAllocation(machine, i);
+        if (!state.confirmed() && !fenced && !neverLaunched) continue;
+        logLostAttempt(m, allocation, "not_reported", now_);
+        releaseAllocation(machine, i);
     }
 }
 
@@ -363,7 +382,12 @@
         return {};
     if (isNew) checkResponsesArrive(index, now);
     if (m.inboundPartitioned) effects_.machinesToProbe.insert(index);
-    auto commands = commandsFor(index, CommandChannel::heartbeatResponse);
+    std::vector<Command> commands;
+    // A raised token makes the worker drop an earlier response that is still on its way, and what a
+    // direct request in flight would launch. So it rises in the only response that the worker waits
+    // for, and while no request is open.
+    addForgetCommands(index, isNew && !m.commandInFlight && mayLaunchDirectly(index), commands);
+    addLaunchesAndStops(index, CommandChannel::heartbeatResponse, commands);
     if (!isNew) return commands;  // a duplicate: nobody receives its response
     ++m.answeredHeartbeats;
     m.lastAnsweredAt = now;
--- a/src/simulator/agent.cpp
+++ b/src/simulator/agent.cpp
@@ -231,10 +231,30 @@
     co_return response;
 }
 
+void Agent::receiveCopy(const std::string& body) {
+    if (gone_) return;
+    scope_.spawn(executeCopy(body));
+    machine_.wake();
+}
+
+Task<void> Agent::executeCopy(std::string body) {
+    // By the machine's own loop, so that a machine that hangs executes it once it goes on.
+    do co_await loop_.sleep(std::max(inboundBlockedUntil_ - now(), Duration::zero()), scope_);
+    while (inboundBlocked() && !scope_.cancelled());
+    if (!scope_.cancelled()) executeCommands(body);
+}
+
 http::Response Agent::command(const http::Request& r) {
     if (r.target == "/inspect") return {200, report()};
     if (r.target != "/commands") return {404, "{}"};
-    const auto doc = json::parse(r.body);
+    auto response = executeCommands(r.body);
+    if (response.status == 200 && environment_.onCommandsExecuted)
+        environment_.onCommandsExecuted(host_.name, r.body);
+    return response;
+}
+
+http::Response Agent::executeCommands(const std::string& body) {
+    const auto doc = json::parse(body);
     const auto token = doc ? json::count(*doc, "baton") : std::nullopt;
     const auto session = doc ? json::count(*doc, "stint") : std::nullopt;
     if (!token || !session) return {400, "{}"};
--- a/src/simulator/agent.h
+++ b/src/simulator/agent.h
@@ -24,7 +24,9 @@
     std::map<std::string, double> lastTaskExtraRuntime;       // by job, as a share of its run time
     std::function<void(const std::string& report)> onReport;  // called as a report is sent
     std::function<void(const std::string& job)> onJobCompleted;  // all tasks are completed
-    std::map<std::string, std::uint32_t> completedTaskCounts;    // by job
+    /// Called once direct commands are executed, with the body of their request.
+    std::function<void(const std::string& machine, const std::string& body)> onCommandsExecuted;
+    std::map<std::string, std::uint32_t> completedTaskCounts;  // by job
 };
 
 /// A worker agent that speaks the published worker protocol, on its own simulated machine: it sends
@@ -53,6 +55,8 @@
     void delayCommands(Duration span) {
         commandsDelayedUntil_ = std::max(commandsDelayedUntil_, now() + span);
     }
+    /// A copy of a direct request with that body arrives. Nobody receives its response.
+    void receiveCopy(const std::string& body);
     /// Announces that the spot machine will be reclaimed after `notice`.
     void noticeInterruption(Duration notice);
     /// While set, each task that starts fails after 1 s.
@@ -78,7 +82,10 @@
     [[nodiscard]] bool inboundBlocked() const { return now() < inboundBlockedUntil_; }
     Task<void> sendHeartbeats();
     Task<http::Response> serve(http::Request request);
+    Task<void> executeCopy(std::string body);
     http::Response command(const http::Request& request);
+    /// Executes direct commands, unless their token or incarnation is outdated.
+    http::Response executeCommands(const std::string& body);
     Task<void> run(Key key, std::uint64_t generation);
     Task<void> save(Key key, std::uint64_t generation, Duration span);
     [[nodiscard]] std::string report();
--- a/src/simulator/fault_interactions_test.cpp
+++ b/src/simulator/fault_interactions_test.cpp
@@ -201,7 +201,7 @@
 TEST_F(MeetingTest, MachinesThatAreUpAtOnceAndGetWorkAtOnceWhileWritesLag) {
     // They are in no list yet when the leader ends, and its last bindings may stand or not.
     std::size_t early = 0;
-    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
         Fault quick = fault("boot_trouble", 15, 50);
         quick.factor = 0.1;
         s.faults = {quick,
@@ -406,6 +406,25 @@
     EXPECT_GT(repeated, 100U);
 }
 
+TEST_F(MeetingTest, CopiesOfAnsweredCommandsStartNoAttemptAgain) {
+    // Tasks fail, move and are cancelled, and controllers are back at once, before their copies.
+    std::size_t copies = 0;
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        s.faults = {share("repeated_commands", 12, 75, 1), many("machine_sick", 15, 60, 3),
+                    many("cancel_now", 30, 2, 10),         many("cancel_now", 55, 0, 10),
+                    fault("node_crash", 34, 0.2),          many("node_crash", 60, 0.2, 5),
+                    many("machine_restart", 66, 0.4, 2)};
+        std::set<std::tuple<std::string, std::uint32_t, std::uint64_t>> started;
+        for (const auto& f : play(seed).events) {
+            copies += f.text.starts_with("a copy of direct commands") ? 1 : 0;
+            if (f.kind != Kind::taskStarted) continue;
+            EXPECT_TRUE(started.emplace(f.job, f.task, f.number).second)
+                << seed << ": " << History::text(f);
+        }
+    }
+    EXPECT_GT(copies, 300U);
+}
+
 TEST_F(MeetingTest, RecordsThatAreRefusedWhileLeadersEndDelayNoOtherJobAndAreStoredAfterwards) {
     // A third of all jobs cannot be written for a while: submissions, bindings, results and
     // cancellations, some of them in transactions that are executed late or whose answer is lost.
--- a/src/simulator/scenario.cpp
+++ b/src/simulator/scenario.cpp
@@ -247,7 +247,7 @@
         "node_isolated", "node_roll",       "state_limits", "machine_deaf",    "machine_restart",
         "late_copies",   "node_refused",    "late_writes",  "state_slow",      "commands_held",
         "cancel_now",    "cancel_at_end",   "machine_mute", "odd_requests",    "close_looks",
-        "answers_lost",  "copies_for_next", "peers_slow",   "records_refused"};
+        "answers_lost",  "copies_for_next", "peers_slow",   "records_refused", "repeated_commands"};
     return all;
 }
 
--- a/src/simulator/simulation.cpp
+++ b/src/simulator/simulation.cpp
@@ -122,6 +122,16 @@
     };
     s.agentEnvironment.reportInterval = fromSeconds(s.options.reportS);
     s.agentEnvironment.lease = fromSeconds(s.options.leaseS);
+    s.commandRepeater = std::make_unique<CommandRepeater>(
+        time_, s.agentEnvironment.lease,
+        [this, &s](const std::string& machine, const std::string& body) {
+            recordEvent(s, "a copy of direct commands arrives", machine);
+            s.agents.at(machine)->receiveCopy(body);
+        });
+    s.agentEnvironment.onCommandsExecuted = [&s](const std::string& machine,
+                                                 const std::string& body) {
+        s.commandRepeater->onAnswered(machine, body);
+    };
     std::vector<std::string> addresses;
     for (std::size_t i = 0; i < s.options.nodes; ++i) {
         auto n = std::make_unique<Node>();
@@ -223,11 +233,13 @@
     n.machine->endProcess();
 }
 
-void Simulation::crash(Node& n, double backS) {
+void Simulation::crash(Site& s, Node& n, double backS) {
     if (!n.controller) return;
     stop(n);
-    time_.after(fromSeconds(backS), [this, &n] {
-        if (!n.controller) start(n);
+    time_.after(fromSeconds(backS), [this, &s, &n, backS] {
+        if (n.controller) return;
+        start(n);
+        s.commandRepeater->onRestart(fromSeconds(backS));
     });
 }
 
@@ -243,7 +255,7 @@
 void Simulation::rollingUpgrade(Site& s, std::size_t next, double everyS, double backS) {
     if (next >= s.nodes.size()) return;
     upgrade(s, *s.nodes[next]);
-    crash(*s.nodes[next], backS);
+    crash(s, *s.nodes[next], backS);
     time_.after(fromSeconds(everyS),
                 [this, &s, next, everyS, backS] { rollingUpgrade(s, next + 1, everyS, backS); });
 }
@@ -351,7 +363,7 @@
     // A new agent process with the same name and address, and none of the former tasks.
     const Cloud::Host host = w.host();
     w.kill(true);
-    time_.after(fromSeconds(backS), [this, &s, host] {
+    time_.after(fromSeconds(backS), [this, &s, host, backS] {
         if (!s.cloud->hosts().contains(host.name)) return;
         const auto type = std::find_if(s.options.types.begin(), s.options.types.end(),
                                        [&](const auto& t) { return t.name == host.type; });
@@ -361,6 +373,7 @@
         s.replacedAgents.push_back(std::move(here));
         here = std::make_unique<Agent>(time_, **old, host, *type, s.agentEnvironment, history_,
                                        s.replacedAgents.back().get());
+        s.commandRepeater->onRestart(fromSeconds(backS));
     });
 }
 
@@ -569,7 +582,7 @@
                            [&](const auto& n) { return n->machine.get() == &m; });
     };
     if (f.kind == "node_crash") {
-        for (Node* n : pickNodes(s, f)) crash(*n, f.forS);
+        for (Node* n : pickNodes(s, f)) crash(s, *n, f.forS);
     } else if (f.kind == "node_freeze") {
         for (Node* n : pickNodes(s, f)) n->machine->freeze(fromSeconds(f.forS));
     } else if (f.kind == "node_stutter") {
@@ -624,6 +637,9 @@
     } else if (f.kind == "records_refused") {
         s.refusedShare = f.share;
         countWhileActive(s.recordsRefused, f.forS);
+    } else if (f.kind == "repeated_commands") {
+        s.commandRepeater->begin(f.share);
+        time_.at(until, [&s] { s.commandRepeater->end(); });
     } else if (f.kind == "answers_lost") {
         s.lostShare = f.share;
         countWhileActive(s.answersLost, f.forS);
--- a/src/simulator/simulation.h
+++ b/src/simulator/simulation.h
@@ -5,6 +5,7 @@
 #include "controller/controller.h"
 #include "simulator/agent.h"
 #include "simulator/checker.h"
+#include "simulator/command_repeater.h"
 #include "simulator/scenario.h"
 #include "simulator/users.h"
 
@@ -50,6 +51,7 @@
         std::unique_ptr<StateService> state;
         std::unique_ptr<Cloud> cloud;
         std::unique_ptr<Users> users;
+        std::unique_ptr<CommandRepeater> commandRepeater;
         std::vector<std::unique_ptr<Node>> nodes;
         AgentEnvironment agentEnvironment;
         std::vector<std::unique_ptr<Machine>> machines;
@@ -71,7 +73,7 @@
     };
     void build(Site& site);
     void start(Node& node);
-    void crash(Node& node, double backS);
+    void crash(Site& site, Node& node, double backS);
     static void stop(Node& node);
     void generateLoad(Site& site);
     void submit(Site& s, const JobClassOptions& c);
--- a/src/simulator/simulation_test.cpp
+++ b/src/simulator/simulation_test.cpp
@@ -26,8 +26,8 @@
 
 TEST_F(SimulationTest, OneSeedIsTheSameHistoryOnEveryProcessor) {
     // A change of behaviour changes these, and is recorded here with it.
-    const std::map<std::string, std::uint64_t> digests{{"one-site", 0x0452c1a92cda16bf},
-                                                       {"two-sites", 0x66267f04fcd78b93}};
+    const std::map<std::string, std::uint64_t> digests{{"one-site", 0x1a01ff23297f1de5},
+                                                       {"two-sites", 0xb6ea5595fc93659a}};
     for (const auto& [name, digest] : digests) {
         Simulation world(scenario(name), 1);
         world.run();
@@ -94,7 +94,7 @@
     int told = 0, elsewhere = 0;
     for (const char* kind : {"node_refused", "node_isolated", "zone_cut"})
         for (const double alone : {2.5, 9.0})
-            for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+            for (std::uint64_t seed = 1; seed <= 5; ++seed) {
                 Scenario s = scenario("fault-interactions");
                 s.swarm.toS = 0;
                 s.seconds = 130;
--- a/src/worker_api/allocation.h
+++ b/src/worker_api/allocation.h
@@ -2,6 +2,7 @@
 // Allocations: which attempts are possibly on a machine, and what is known about each. Used by
 // `scheduler::Cluster`, which keeps them in `worker_api::Machine`.
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "cells/cells.h"
@@ -9,6 +10,33 @@
 
 namespace basaltchute::worker_api {
 
+/// How commands reach an agent.
+enum class CommandChannel : std::uint8_t { heartbeatResponse, direct };
+
+/// Why this leader told an attempt to stop. `moved`: off a machine that is to be terminated.
+/// `interrupted`: just before its machine is lost, to write a checkpoint. `jobClosed`: its job is
+/// cancelled or done. `superseded`: its task has another attempt or a result. `orphaned`: it was
+/// found where its task does not belong.
+enum class StopReason : std::uint8_t {
+    none,
+    preempted,
+    moved,
+    interrupted,
+    jobClosed,
+    superseded,
+    orphaned
+};
+
+/// How this leader launched an attempt, for the log and the status page. Decides nothing.
+struct LaunchRecord {
+    std::optional<CommandChannel> channel;  // of the first launch; empty: by a former leader
+    FencingToken token = 0;                 // of that launch
+    std::uint64_t incarnation = 0;          // of the agent
+    TimePoint sentAt{};                     // if there is a channel
+    std::optional<TimePoint> confirmedAt;   // first reported by its machine
+    StopReason stopReason = StopReason::none;
+};
+
 /// What is known about an allocation's attempt: whether a launch command for it has been sent, and
 /// whether the machine has reported it. Every change is one of these transitions:
 ///
@@ -80,6 +108,7 @@
     Attempt attempt = 0;
     std::uint64_t recordVersion = 0;  // version of the job's record with the binding
     AllocationState state = AllocationState::bound();
+    LaunchRecord launch;
     bool orphaned = false;  // found on the machine, where its task does not belong: it is stopped
     bool stopSent = false;
     bool launchInLastResponse = false;  // the last heartbeat response held its launch
--- a/src/worker_api/machine.h
+++ b/src/worker_api/machine.h
@@ -19,6 +19,18 @@
 /// by the cloud for good.
 enum class Presence { expected, up, gone };
 
+/// An attempt that its worker reports as exited.
+struct TerminalStatus {
+    /// The version of the job's record that holds the result: once it is durable, the worker may
+    /// forget the attempt. Kept so that later changes of the record need not be waited for: that of
+    /// a large array changes all the time.
+    std::uint64_t recordVersion = 0;
+    ExitCause cause = ExitCause::other;
+    TimePoint reportedAt{};
+    LaunchRecord launch;
+    bool forgetSent = false;
+};
+
 /// One machine, as far as this leader knows.
 struct Machine {
     std::string name, address, type, zone;
@@ -40,16 +52,17 @@
 
     // Its tasks
     std::vector<Allocation> allocations;
-    /// Attempts that were reported as exited last, with the version of the job's record that holds
-    /// their results: once it is durable, the worker may forget them. The version is kept so that
-    /// later changes of the record need not be waited for: that of a large array changes all the
-    /// time.
-    std::map<TaskAttempt, std::uint64_t> terminalStatuses;
-    std::size_t lastReportBytes = 0;         // size of the last report
-    std::vector<ReportedTask> unknownTasks;  // running there, but of no known job
-    /// Attempts that the worker must not forget, because a direct launch that is still on its way
-    /// would start them again.
-    std::set<TaskAttempt> tombstones;
+    std::map<TaskAttempt, TerminalStatus> terminalStatuses;  // as of the last report
+    std::size_t lastReportBytes = 0;                         // size of the last report
+    std::vector<ReportedTask> unknownTasks;                  // running there, but of no known job
+    /// The token of commands to this machine once it has been raised; 0: the term's first token.
+    FencingToken raisedToken = 0;
+    /// The highest token under which this leader sent a direct launch to this machine; 0: none. A
+    /// copy of it may arrive until the worker has seen a higher token.
+    FencingToken directLaunchToken = 0;
+    /// A report of this incarnation shows that the worker has seen this leader's token: from then
+    /// on no attempt starts there but by this leader's commands.
+    bool formerLeadersFenced = false;
     std::map<std::string, TimePoint> cachedImages;  // with the time of last use
     bool commandInFlight = false;                   // a direct request is open
 
