A new session releases no task that a former leader may have launched in it

Cause: old reports reach a new leader as the first word of a machine: one of an earlier session, then one of the present session from before the launch. The second looked like a new session, and everything bound to the machine was taken for killed. What a former leader bound may have been launched in that very session. Class: an action on stale knowledge; releaseUnreported asks for this leader's token on the machine, onNewIncarnation did not.

Change: a new session does not release adopted allocations. The machine's first report under this leader's token does, or the end of its lease.

Both new tests fail without the line.

--- a/src/scheduler/fault_interactions_test.cpp
+++ b/src/scheduler/fault_interactions_test.cpp
@@ -110,6 +110,42 @@
     EXPECT_EQ(restored.runningCount, 1U);
 }
 
+TEST_F(FaultInteractionTest,
+       AnOldReportOfAnEarlierIncarnationThatANewLeaderReceivesFirstReleasesNoTaskOfTheNewerOne) {
+    Worker worker("n-1"), other("n-2");
+    exchangeHeartbeat(worker);
+    const worker_api::StatusReport ofEarlierIncarnation = worker.report;
+    worker.startIncarnation();
+    exchangeHeartbeat(worker);
+    const worker_api::StatusReport beforeTheLaunch = worker.report;
+    submitAndRun(worker, testing::spec("run-1"));
+    takeOver();
+    Job& restored = *cluster->find("run-1");
+    deliver(ofEarlierIncarnation);
+    deliver(beforeTheLaunch);
+    exchangeHeartbeat(other);
+    place();
+    EXPECT_EQ(restored.tasks[0].attempt, 1U) << "a second attempt would run beside the first";
+    heartbeat(worker);
+    EXPECT_EQ(restored.runningCount, 1U);
+}
+
+TEST_F(FaultInteractionTest,
+       AnAdoptedAttemptThatANewerIncarnationDoesNotHaveIsReleasedOnceItsMachineIsFenced) {
+    Worker worker("n-1");
+    exchangeHeartbeat(worker);
+    const worker_api::StatusReport ofEarlierIncarnation = worker.report;
+    submitAndRun(worker, testing::spec("run-1"));
+    takeOver();
+    Job& restored = *cluster->find("run-1");
+    deliver(ofEarlierIncarnation);
+    worker.startIncarnation();  // the task is gone with the earlier one
+    heartbeat(worker);
+    EXPECT_EQ(restored.boundCount, 1U) << "the former leader may have launched it since";
+    heartbeat(worker);
+    EXPECT_EQ(restored.boundCount, 0U);
+}
+
 TEST_F(FaultInteractionTest, ADuplicateReportFromAnEarlierIncarnationDoesNotRestoreItsTasks) {
     Worker worker("n-1"), other("n-2");
     submitAndRun(worker, testing::spec("run-1"));
--- a/src/scheduler/reconciliation.cpp
+++ b/src/scheduler/reconciliation.cpp
@@ -270,11 +270,14 @@
         m.cachedImages.clear();
         markCapacityDirty(machine);
         // The worker has killed all its tasks. Bindings whose launch was never sent remain valid.
-        for (std::size_t i = m.allocations.size(); i-- > 0;)
-            if (m.allocations[i].state.launchSent()) {
-                logLostAttempt(m, m.allocations[i], "new_session", now);
-                releaseAllocation(machine, i);
-            }
+        // So do adopted ones: the former leader may have launched them in the new incarnation,
+        // while an old report of the earlier one reached this leader first.
+        for (std::size_t i = m.allocations.size(); i-- > 0;) {
+            const AllocationState& state = m.allocations[i].state;
+            if (!state.launchSent() || state.adopted()) continue;
+            logLostAttempt(m, m.allocations[i], "new_session", now);
+            releaseAllocation(machine, i);
+        }
     }
     // A new incarnation holds a lease from its start, before any of its heartbeats is answered.
     // Without this, the lease of the former incarnation still counted: an incarnation that became
