--- a/src/simulator/simulation_test.cpp
+++ b/src/simulator/simulation_test.cpp
@@ -277,7 +277,7 @@
     }
 };
 
-TEST(LabNetwork, WhatIsSentArrivesAndARefusedConnectionIsToldAtOnce) {
+TEST(SimulatedNetwork, WhatIsSentArrivesAndARefusedConnectionIsToldAtOnce) {
     Echo echo;
     echo.ask(1s);
     echo.pass(500ms);
@@ -294,7 +294,7 @@
     EXPECT_TRUE(done);
 }
 
-TEST(LabNetwork, ACutHoldsBackWhatWasSentAndEndsWithItOrWithAReset) {
+TEST(SimulatedNetwork, ACutHoldsBackWhatWasSentAndEndsWithItOrWithAReset) {
     for (const bool reset : {false, true}) {
         Echo echo;
         echo.ask(1s);
@@ -311,7 +311,7 @@
     }
 }
 
-TEST(LabNetwork, AMachineThatStandsStillGoesOnLaterAndOneWithoutPowerIsSilent) {
+TEST(SimulatedNetwork, AMachineThatStandsStillGoesOnLaterAndOneWithoutPowerIsSilent) {
     Echo echo;
     echo.there.freeze(3s);
     echo.ask(10s);
@@ -328,7 +328,7 @@
     EXPECT_FALSE(echo.got.answered);
 }
 
-TEST(LabNetwork, ClocksDriftApartWithinTheirBound) {
+TEST(SimulatedNetwork, ClocksDriftApartWithinTheirBound) {
     Echo echo;
     echo.pass(1000s);
     const Duration apart = echo.there.clock().now() - echo.here.clock().now();
