--- a/src/simulator/simulation.h
+++ b/src/simulator/simulation.h
@@ -89,6 +89,23 @@
     /// Increments a count of active faults for `forS` seconds.
     void countWhileActive(int& count, double forS);
     void apply(const Fault& fault);
+    /// What a kind of fault does to a site.
+    using FaultHandler = std::function<void(Simulation&, Site&, const Fault&)>;
+    using FaultHandlers = std::map<std::string, FaultHandler>;
+    /// The handlers of all kinds but those that concern several sites at once.
+    static const FaultHandlers& faultHandlers();
+    static void addControllerFaults(FaultHandlers& handlers);
+    static void addPartitions(FaultHandlers& handlers);
+    static void addStateServiceFaults(FaultHandlers& handlers);
+    static void addCloudFaults(FaultHandlers& handlers);
+    static void addMachineFaults(FaultHandlers& handlers);
+    static void addUserFaults(FaultHandlers& handlers);
+    /// Partitions a controller from the machines that a kind of partition names.
+    void partitionNode(const Site& site, const Node& node, const Fault& fault);
+    /// The end of a fault that begins now.
+    [[nodiscard]] TimePoint endOf(const Fault& fault) const {
+        return time_.now() + fromSeconds(fault.forS);
+    }
     void applyTo(Site& site, const Fault& fault);
     void partitionFor(const Fault& fault, Network::LinkPredicate between);
     /// Up to `fault.count` random running nodes, the leader first if `fault.leader`.
