--- a/src/simulator/main.cpp
+++ b/src/simulator/main.cpp
@@ -207,7 +207,8 @@
 // CLI11 throws only while options are defined, so a mistake there shows at every start.
 // NOLINTNEXTLINE(bugprone-exception-escape)
 int main(int argc, char** argv) {
-    CLI::App cli{"basaltchute-simulator: simulates controllers under faults, reproducibly from a seed."};
+    CLI::App cli{
+        "basaltchute-simulator: simulates controllers under faults, reproducibly from a seed."};
     cli.require_subcommand(1);
     std::string path, seeds = "1", level = "off";
     unsigned jobs = 1;
