--- a/src/controller/wire_format_test.cpp
+++ b/src/controller/wire_format_test.cpp
@@ -157,6 +157,7 @@
     EXPECT_EQ(ask("POST", "/agent/beat", heartbeatStart + R"("tick":1,"splits":[]})"),
               R"(503 Retry-After 1 {"error":"no leader at the moment"})");
     EXPECT_EQ(ask("GET", "/status"), R"(200 {"node":"rig-0","leading":false,"connections":1})");
+    EXPECT_EQ(ask("GET", "/status/n-1"), R"(503 {"error":"not the leader"})");
 }
 
 TEST_F(ControllerWireFormat, HeartbeatRedirectToALeaderOutOfReach) {
@@ -214,6 +215,33 @@
               R"("sick":false,"tasks":2,"session":1}]})");
 }
 
+TEST_F(ControllerWireFormat, StatusPageOfAMachine) {
+    start();
+    ask("POST", "/v1/jobs", testing::submission("run-1"));
+    ask("POST", "/agent/beat", heartbeatStart + R"("tick":1,"splits":[]})");
+    world.run(1s);
+    ask("POST", "/agent/beat",
+        heartbeatStart + R"("tick":2,"splits":[{"split":"run-1/0","try":1,"status":"running"},)"
+                         R"({"split":"run-1/1","try":1,"status":"exited","cause":"error"}]})");
+    const std::string answer = ask("GET", "/status/n-1");
+    ASSERT_TRUE(answer.starts_with("200 ")) << answer;
+    const auto doc = json::parse(answer.substr(4));
+    ASSERT_TRUE(doc) << answer;
+    EXPECT_EQ(json::string(*doc, "name"), "n-1");
+    EXPECT_EQ(json::count(*doc, "session"), 1U);
+    const auto& running = (*doc)["attempts"][0];
+    EXPECT_EQ(json::string(running, "task"), "run-1/0");
+    EXPECT_EQ(json::string(running, "launch"), "direct");
+    EXPECT_EQ(json::count(running, "token"), 1U);
+    EXPECT_TRUE(json::number(running, "confirmedSAgo"));
+    EXPECT_EQ(json::string(running, "stop"), "none");
+    const auto& ended = (*doc)["ended"][0];
+    EXPECT_EQ(json::string(ended, "task"), "run-1/1");
+    EXPECT_EQ(json::string(ended, "cause"), "error");
+    EXPECT_EQ(ask("GET", "/status/n-2"), R"(404 {"error":"no such machine"})");
+    EXPECT_EQ(ask("POST", "/status/n-1"), "405 {}");
+}
+
 TEST_F(ControllerWireFormat, StoredRecordsOfAJob) {
     start();
     ask("POST", "/v1/jobs", testing::submission("run-1"));
--- a/src/scheduler/repeated_commands_test.cpp
+++ b/src/scheduler/repeated_commands_test.cpp
@@ -228,8 +228,9 @@
 }
 
 TEST_F(RepeatedCommandsTest, ACopyDoesNothingWheneverTheLeaderChanges) {
-    // Before the end of the task, between its end and the forgetting, and after that.
-    for (const int changeAt : {0, 1, 2}) {
+    // Before the end of the task, between its end and the forgetting, and after that; at last to
+    // another leader and back.
+    for (const int changeAt : {0, 1, 2, 3}) {
         SCOPED_TRACE(changeAt);
         records.clear();
         answered.clear();
@@ -246,8 +247,13 @@
         commit();
         if (changeAt == 1) takeOver();
         exchangeUntilForgotten(agent);
-        if (changeAt == 2) takeOver();  // the machine has not seen the newer token
+        if (changeAt >= 2) takeOver();  // the machine has not seen the newer token
         EXPECT_EQ(repeatAll(), 0U);
+        if (changeAt == 3) {
+            heartbeatOf(agent);
+            takeOver();
+            EXPECT_EQ(repeatAll(), 0U);
+        }
         if (changeAt == 2) heartbeatOf(agent);
         EXPECT_EQ(repeatAfter(9s), 0U);
     }
--- a/src/simulator/command_repeater.h
+++ b/src/simulator/command_repeater.h
@@ -30,6 +30,7 @@
     void onRestart(Duration downtime);
 
   private:
+    /// A direct request that an agent has executed and answered.
     struct AnsweredRequest {
         TimePoint at;
         std::string machine, body;
