--- a/src/lease_delegation/delegate.cpp
+++ b/src/lease_delegation/delegate.cpp
@@ -10,15 +10,10 @@
 }
 }  // namespace
 
-Delegate::TokenRange Delegate::tokensOf(const Delegation& delegation) {
-    return {delegation.token, std::max(delegation.token, delegation.lastToken)};
-}
-
-void Delegate::replace(TokenRange tokens, std::uint64_t number, TimePoint validUntil,
-                       bool transferred) {
-    token_ = tokens.first;
-    lastToken_ = tokens.last;
-    number_ = number;
+void Delegate::replace(const Delegation& delegation, TimePoint validUntil, bool transferred) {
+    token_ = delegation.token;
+    lastToken_ = std::max(delegation.token, delegation.lastToken);
+    number_ = delegation.number;
     validUntil_ = validUntil;
     transferred_ = transferred;
     answerCount_ = 0;
@@ -30,14 +25,14 @@
     // A newer answer arrived before this one, or the sender no longer leads.
     if (delegation.token < token_ || (delegation.token == token_ && delegation.number <= number_))
         return true;
-    replace(tokensOf(delegation), delegation.number, expiryOf(delegation, requestedAt), false);
+    replace(delegation, expiryOf(delegation, requestedAt), false);
     lastLeaderContact_ = now;
     return true;
 }
 
 void Delegate::adoptSelfDelegation(FencingToken token, TimePoint until, TimePoint leaseEndedAt) {
     if (token < token_) return;
-    replace({token, lastTokenOfTerm(token)}, 0, until, false);
+    replace({token, 0, {}, lastTokenOfTerm(token)}, until, false);
     lastLeaderContact_ = leaseEndedAt;
 }
 
@@ -53,7 +48,8 @@
     // has ended.
     const bool newer = delegation.token > token_ || (delegation.token == token_ && number_ == 0);
     if (delegation.duration > limits_.maxDuration || !newer || !needsDelegation(now)) return;
-    replace(tokensOf(delegation), 0, expiryOf(delegation, requestedAt), true);
+    replace({delegation.token, 0, {}, delegation.lastToken}, expiryOf(delegation, requestedAt),
+            true);
 }
 
 void Delegate::onLeaderContact(FencingToken token, TimePoint now) {
--- a/src/lease_delegation/delegate.h
+++ b/src/lease_delegation/delegate.h
@@ -101,12 +101,7 @@
     [[nodiscard]] std::uint64_t answerCount() const { return answerCount_; }
 
   private:
-    /// `tokens` names the leader's first and last token.
-    struct TokenRange {
-        FencingToken first = 0, last = 0;
-    };
-    [[nodiscard]] static TokenRange tokensOf(const Delegation& delegation);
-    void replace(TokenRange tokens, std::uint64_t number, TimePoint validUntil, bool transferred);
+    void replace(const Delegation& delegation, TimePoint validUntil, bool transferred);
     [[nodiscard]] bool leaderSilent(TimePoint now) const {
         return now >= lastLeaderContact_ + limits_.leaderSilenceTimeout;
     }
