--- a/src/scheduler/attempt_log.cpp
+++ b/src/scheduler/attempt_log.cpp
@@ -76,6 +76,12 @@
     return *launchChannel == CommandChannel::direct ? "direct" : "heartbeat_response";
 }
 
+void logLaunch(const Machine& machine, const TaskAttempt& attempt, const LaunchRecord& launch) {
+    if (!spdlog::should_log(spdlog::level::debug)) return;
+    spdlog::debug("attempt launched: {} launch={} token={}", describe(machine, attempt),
+                  toText(launch.channel), launch.token);
+}
+
 void logForgottenAttempt(const Machine& machine, const TaskAttempt& attempt,
                          const worker_api::TerminalStatus& status, ForgetReason reason,
                          TimePoint now) {
--- a/src/scheduler/attempt_log.h
+++ b/src/scheduler/attempt_log.h
@@ -17,6 +17,9 @@
 /// by the message that tells it.
 enum class ForgetReason { olderToken, tokenRaised };
 
+/// Logs, at level debug, the first launch of an attempt.
+void logLaunch(const worker_api::Machine& machine, const worker_api::TaskAttempt& attempt,
+               const worker_api::LaunchRecord& launch);
 /// Logs the end of an attempt that its machine has reported, as the machine is told to forget it.
 void logForgottenAttempt(const worker_api::Machine& machine, const worker_api::TaskAttempt& attempt,
                          const worker_api::TerminalStatus& status, ForgetReason reason,
--- a/src/scheduler/commands.cpp
+++ b/src/scheduler/commands.cpp
@@ -121,6 +121,7 @@
         allocation.launch.token = commandToken(machine);
         allocation.launch.incarnation = machines_[machine].incarnation;
         allocation.launch.sentAt = now_;
+        logLaunch(machines_[machine], attemptIn(allocation), allocation.launch);
     }
     if (channel == CommandChannel::direct)
         allocation.state.onDirectLaunchSent();
